--- /dev/null
+++ b/Libraries/base/include/siskinwharf/base/event.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <array>
+#include <string_view>
+
+namespace siskinwharf {
+
+/// Severity of a log event.
+enum class event_level { debug, info, warning, error };
+
+/// A numbered log event. Numbers are never reused; docs/events.md lists them and is checked against this
+/// table.
+struct event_kind {
+    int number;
+    event_level level;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+namespace event {
+
+inline constexpr event_kind process_started{100, event_level::info, "process_started",
+                                            "The process has read its settings and starts its work."};
+inline constexpr event_kind process_ready{101, event_level::info, "process_ready",
+                                          "The process has a sheet in force and accepts requests."};
+inline constexpr event_kind process_stopping{102, event_level::info, "process_stopping",
+                                             "A planned stop began; no new request is accepted."};
+inline constexpr event_kind process_stopped{103, event_level::info, "process_stopped",
+                                            "The process has finished its requests and exits."};
+inline constexpr event_kind settings_rejected{104, event_level::error, "settings_rejected",
+                                              "The settings have faults; each is reported with its line."};
+inline constexpr event_kind listen_failed{105, event_level::error, "listen_failed",
+                                          "A listening socket could not be opened."};
+
+inline constexpr event_kind request_accepted{200, event_level::debug, "request_accepted",
+                                             "An endpoint has confirmed the stream of a request."};
+inline constexpr event_kind request_finished{201, event_level::debug, "request_finished",
+                                             "The whole answer was delivered."};
+inline constexpr event_kind request_refused{202, event_level::info, "request_refused",
+                                            "A request was refused before it was accepted."};
+inline constexpr event_kind attempt_failed{203, event_level::warning, "attempt_failed",
+                                           "An attempt at an endpoint ended before its answer was whole."};
+inline constexpr event_kind request_moved{204, event_level::info, "request_moved",
+                                          "A stream continues on another endpoint."};
+inline constexpr event_kind request_handed_over{205, event_level::info, "request_handed_over",
+                                                "A request record was handed to a peer or taken from one."};
+inline constexpr event_kind request_quarantined{206, event_level::warning, "request_quarantined",
+                                                "A request crashed endpoints and is refused from now on."};
+inline constexpr event_kind claim_uncertain{207, event_level::warning, "claim_uncertain",
+                                            "The table did not say whether a claim took effect."};
+
+inline constexpr event_kind sheet_in_force{300, event_level::info, "sheet_in_force",
+                                           "A newer sheet is in force at this process."};
+inline constexpr event_kind sheet_rejected{301, event_level::warning, "sheet_rejected",
+                                           "A sheet was refused; each fault is reported with its line."};
+inline constexpr event_kind sheet_conflict{302, event_level::warning, "sheet_conflict",
+                                           "Another operator's sheet was accepted first."};
+
+inline constexpr event_kind endpoint_added{400, event_level::info, "endpoint_added",
+                                           "An endpoint can be routed to."};
+inline constexpr event_kind endpoint_leaving{401, event_level::info, "endpoint_leaving",
+                                             "An endpoint gets no new work because it is leaving."};
+inline constexpr event_kind endpoint_dead{402, event_level::warning, "endpoint_dead",
+                                          "An endpoint died without notice."};
+inline constexpr event_kind peer_suspected{403, event_level::warning, "peer_suspected",
+                                           "A peer did not answer its probes."};
+inline constexpr event_kind peer_dead{404, event_level::warning, "peer_dead",
+                                      "A peer is taken for dead; its duties move to others."};
+inline constexpr event_kind peer_alive{405, event_level::info, "peer_alive", "A peer joined or came back."};
+inline constexpr event_kind peer_message_rejected{406, event_level::warning, "peer_message_rejected",
+                                                  "A peer message failed its checks."};
+
+inline constexpr event_kind platform_unavailable{500, event_level::warning, "platform_unavailable",
+                                                 "A platform service does not answer."};
+inline constexpr event_kind platform_available{501, event_level::info, "platform_available",
+                                               "A platform service answers again."};
+inline constexpr event_kind lease_acquired{502, event_level::info, "lease_acquired",
+                                           "This process orders the endpoints of its failure domain."};
+inline constexpr event_kind lease_lost{503, event_level::warning, "lease_lost",
+                                       "This process no longer gives orders."};
+inline constexpr event_kind order_sent{504, event_level::info, "order_sent",
+                                       "An order was given to an endpoint or the cloud API."};
+inline constexpr event_kind order_refused{505, event_level::warning, "order_refused",
+                                          "An endpoint or the cloud API refused an order."};
+
+/// All events, in the order of their numbers.
+inline constexpr std::array all{
+    process_started,      process_ready,      process_stopping, process_stopped,
+    settings_rejected,    listen_failed,      request_accepted, request_finished,
+    request_refused,      attempt_failed,     request_moved,    request_handed_over,
+    request_quarantined,  claim_uncertain,    sheet_in_force,   sheet_rejected,
+    sheet_conflict,       endpoint_added,     endpoint_leaving, endpoint_dead,
+    peer_suspected,       peer_dead,          peer_alive,       peer_message_rejected,
+    platform_unavailable, platform_available, lease_acquired,   lease_lost,
+    order_sent,           order_refused,
+};
+
+} // namespace event
+
+} // namespace siskinwharf
--- /dev/null
+++ b/Libraries/base/tests/base_test.cpp
@@ -0,0 +1,38 @@
+#include <catch2/catch.hpp>
+
+#include "siskinwharf/base/digest.h"
+#include "siskinwharf/base/event_log.h"
+#include "siskinwharf/base/hash.h"
+
+namespace siskinwharf {
+
+TEST_CASE("digests match published test vectors")
+{
+    CHECK(sha256_hex("abc") == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+    // RFC 4231, test case 2.
+    CHECK(to_hex(hmac_sha256("Jefe", "what do ya want for nothing?")) ==
+          "5bdcc146bf60754e6a042426089575c75a003f089d2739839dec58b964ec3843");
+    CHECK(equal_constant_time("ab", "ab"));
+    CHECK_FALSE(equal_constant_time("ab", "ac"));
+    CHECK_FALSE(equal_constant_time("ab", "abc"));
+}
+
+TEST_CASE("a field value with control characters cannot forge a second log line")
+{
+    CHECK(format_event(event::request_refused, {{"account", "a\nE105 x"}, {"type", "overload"}}) ==
+          "I202 request_refused account=\"a\\x0aE105 x\" type=overload");
+}
+
+TEST_CASE("event numbers rise, so that none is used twice")
+{
+    for (std::size_t index = 1; index < event::all.size(); ++index)
+        CHECK(event::all[index - 1].number < event::all[index].number);
+}
+
+TEST_CASE("the hash is stable, because entry processes of different versions must agree on it")
+{
+    CHECK(hash64("") == mix64(0xCBF29CE484222325ULL));
+    CHECK(hash64("a") != hash64("b"));
+}
+
+} // namespace siskinwharf
--- /dev/null
+++ b/Libraries/platform/include/siskinwharf/platform/table_store.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "siskinwharf/platform/table.h"
+
+namespace siskinwharf::platform {
+
+/// Port to the platform's transactional table service. Calls end after the adapter's timeout at the latest.
+class table_store {
+public:
+    table_store() = default;
+    table_store(const table_store&) = delete;
+    table_store& operator=(const table_store&) = delete;
+    table_store(table_store&&) = delete;
+    table_store& operator=(table_store&&) = delete;
+    virtual ~table_store() = default;
+
+    virtual boost::asio::awaitable<commit_result> commit(table_transaction transaction) = 0;
+    virtual boost::asio::awaitable<read_result> read(std::string key) = 0;
+};
+
+} // namespace siskinwharf::platform
--- /dev/null
+++ b/Meta/CMake/siskinwharf.cmake
@@ -0,0 +1,60 @@
+# Build settings and helper functions shared by all packages.
+
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+set(CMAKE_RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/bin")
+
+if(NOT CMAKE_BUILD_TYPE)
+    set(CMAKE_BUILD_TYPE RelWithDebInfo)
+endif()
+# Full debug information doubles the build time of the Beast translation units.
+set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O2 -g1")
+
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+    # The base directory lets several checkouts of the project share one cache.
+    set(CMAKE_CXX_COMPILER_LAUNCHER ${CMAKE_COMMAND} -E env
+        CCACHE_BASEDIR=${PROJECT_SOURCE_DIR} CCACHE_NOHASHDIR=1 ${CCACHE_PROGRAM})
+endif()
+
+set(SISKINWHARF_SANITIZER "" CACHE STRING "Sanitizer of all targets: address, thread or empty")
+if(SISKINWHARF_SANITIZER STREQUAL "address")
+    add_compile_options(-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
+    add_link_options(-fsanitize=address,undefined)
+elseif(SISKINWHARF_SANITIZER STREQUAL "thread")
+    add_compile_options(-fsanitize=thread -fno-omit-frame-pointer)
+    add_link_options(-fsanitize=thread)
+endif()
+
+add_compile_options(-Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor)
+# Boost headers are only found in the version that the project declares.
+add_compile_definitions(BOOST_ASIO_NO_DEPRECATED BOOST_ASIO_SEPARATE_COMPILATION BOOST_BEAST_SEPARATE_COMPILATION)
+
+find_package(Threads REQUIRED)
+find_package(fmt REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Boost 1.81 REQUIRED COMPONENTS json)
+find_package(Catch2 2 REQUIRED)
+find_package(rapidcheck REQUIRED)
+
+# siskinwharf_library(<name> SOURCES <file>... [DEPENDS <target>...])
+# Adds one package: a static library with public headers under include/.
+function(siskinwharf_library name)
+    cmake_parse_arguments(PARSE_ARGV 1 ARG "" "" "SOURCES;DEPENDS;PRIVATE_DEPENDS")
+    add_library(siskinwharf_${name} STATIC ${ARG_SOURCES})
+    add_library(siskinwharf::${name} ALIAS siskinwharf_${name})
+    target_include_directories(siskinwharf_${name} PUBLIC include PRIVATE src)
+    target_link_libraries(siskinwharf_${name} PUBLIC ${ARG_DEPENDS} PRIVATE ${ARG_PRIVATE_DEPENDS})
+endfunction()
+
+# siskinwharf_test(<package> SOURCES <file>... [DEPENDS <target>...])
+# Adds the one test program of a package.
+function(siskinwharf_test name)
+    cmake_parse_arguments(PARSE_ARGV 1 ARG "" "" "SOURCES;DEPENDS")
+    add_executable(test_${name} ${ARG_SOURCES})
+    target_link_libraries(test_${name} PRIVATE siskinwharf::${name} Catch2::Catch2WithMain ${ARG_DEPENDS})
+    add_test(NAME ${name} COMMAND test_${name})
+    set_tests_properties(${name} PROPERTIES TIMEOUT 300 LABELS unit)
+endfunction()
--- /dev/null
+++ b/Meta/test.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Runs every check of the project: format, build, linter, tests, sanitizer builds and models.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Meta/check-format.sh
+cmake -S . -B build -G Ninja >/dev/null
+cmake --build build
+Meta/lint.sh build
+ctest --test-dir build --output-on-failure --no-tests=error
