Http: Add the caller front end and the client on Beast

Requests that are malformed, too large or too slow get a typed refusal. Calls that must not be repeated use a fresh connection, because a kept one may close while the request is being sent.

--- /dev/null
+++ b/Libraries/http/include/siskinwharf/http/error.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <stdexcept>
+#include <string>
+
+namespace siskinwharf::http {
+
+/// How far a call had come when it failed. Decides whether a non-idempotent call may have run.
+enum class call_stage {
+    before_send,  ///< No byte of the request was written.
+    after_send,   ///< At least one byte of the request was written; no response header arrived.
+    after_header, ///< The response header arrived, the body did not end.
+};
+
+/// A call to another process failed.
+class call_error : public std::runtime_error {
+public:
+    call_error(call_stage stage, const std::string& message) : std::runtime_error(message), m_stage(stage) {}
+
+    [[nodiscard]] call_stage stage() const { return m_stage; }
+
+private:
+    call_stage m_stage;
+};
+
+/// A caller's connection ended while a response was being written to it.
+class caller_disconnected : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+/// A listening socket or a certificate could not be set up.
+class listen_error : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+} // namespace siskinwharf::http
--- /dev/null
+++ b/Libraries/http/include/siskinwharf/http/server.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "siskinwharf/base/time.h"
+#include "siskinwharf/http/message.h"
+
+namespace siskinwharf::http {
+
+/// Writes one response: either whole with `send`, or in parts with `begin`, `write` and `finish`.
+/// Every call throws `caller_disconnected` if the connection has ended.
+class response_writer {
+public:
+    response_writer() = default;
+    response_writer(const response_writer&) = delete;
+    response_writer& operator=(const response_writer&) = delete;
+    response_writer(response_writer&&) = delete;
+    response_writer& operator=(response_writer&&) = delete;
+    virtual ~response_writer() = default;
+
+    virtual boost::asio::awaitable<void> send(response whole) = 0;
+    virtual boost::asio::awaitable<void> begin(int status, std::vector<header_field> headers) = 0;
+    virtual boost::asio::awaitable<void> write(std::string part) = 0;
+    virtual boost::asio::awaitable<void> finish() = 0;
+    /// Whether a response header has been sent.
+    [[nodiscard]] virtual bool started() const = 0;
+};
+
+/// Serves one request. Exceptions other than `caller_disconnected` end the connection.
+using request_handler = std::function<boost::asio::awaitable<void>(request, response_writer&)>;
+
+/// Bounds on what one connection may cost.
+struct server_limits {
+    std::uint32_t header_bytes = 16U << 10U;
+    std::uint64_t body_bytes = 1U << 20U;
+    /// Time for a whole request to arrive, and for one write to make progress.
+    milliseconds request_timeout{10'000};
+    milliseconds write_timeout{30'000};
+    /// Time a connection may be idle between two requests.
+    milliseconds idle_timeout{75'000};
+    std::uint32_t connections = 4096;
+};
+
+/// Certificate chain and private key, both PEM files.
+struct tls_files {
+    std::string certificate;
+    std::string private_key;
+};
+
+/// HTTP/1.1 server on one `io_context`. Several servers may listen on the same address, one for each thread.
+class server {
+public:
+    /// Opens the listening socket. Port 0 lets the system choose. Throws `listen_error`.
+    server(boost::asio::io_context& context, const address& listen, server_limits limits,
+           request_handler handler, const tls_files* tls = nullptr);
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+    server(server&&) = delete;
+    server& operator=(server&&) = delete;
+    ~server();
+
+    /// Starts to accept connections.
+    void start();
+    /// Stops accepting and closes idle connections; requests in progress go on and are answered with
+    /// `Connection: close`. Must be called on the thread that runs the context.
+    void stop_accepting();
+    [[nodiscard]] unsigned short port() const;
+    /// Requests that have been read and not yet answered.
+    [[nodiscard]] std::size_t active_requests() const;
+
+private:
+    class implementation;
+    std::shared_ptr<implementation> m_implementation;
+};
+
+} // namespace siskinwharf::http
--- /dev/null
+++ b/Libraries/http/src/connection.h
@@ -0,0 +1,189 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/stream_traits.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "siskinwharf/http/error.h"
+#include "siskinwharf/http/refusal.h"
+#include "siskinwharf/http/server.h"
+
+#include "read_timer.h"
+
+namespace siskinwharf::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+/// Bytes read at first, before the parser knows how much is to come.
+inline constexpr std::size_t first_read_bytes = 4096;
+
+inline constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+/// Response writer on one connection, plain or TLS.
+template<typename Stream>
+class connection_writer final : public response_writer {
+public:
+    connection_writer(Stream& stream, unsigned version, bool keep_alive, milliseconds write_timeout)
+        : m_stream(stream), m_version(version), m_keep_alive(keep_alive), m_write_timeout(write_timeout)
+    {
+    }
+
+    asio::awaitable<void> send(response whole) override
+    {
+        m_started = true;
+        beast::http::response<beast::http::string_body> message;
+        prepare(message, whole.status, whole.headers);
+        message.body() = std::move(whole.body);
+        message.prepare_payload();
+        const auto [error, size] = co_await beast::http::async_write(m_stream, message, use_tuple);
+        check(error);
+    }
+
+    asio::awaitable<void> begin(int status, std::vector<header_field> headers) override
+    {
+        m_started = true;
+        beast::http::response<beast::http::empty_body> message;
+        // HTTP/1.0 has no chunked coding: the end of the connection ends the body.
+        m_chunked = m_version >= 11;
+        if (!m_chunked)
+            m_keep_alive = false;
+        prepare(message, status, headers);
+        message.chunked(m_chunked);
+        beast::http::response_serializer<beast::http::empty_body> serializer(message);
+        const auto [error, size] = co_await beast::http::async_write_header(m_stream, serializer, use_tuple);
+        check(error);
+    }
+
+    asio::awaitable<void> write(std::string part) override
+    {
+        if (part.empty())
+            co_return;
+        beast::get_lowest_layer(m_stream).expires_after(m_write_timeout);
+        const asio::const_buffer buffer(part.data(), part.size());
+        if (m_chunked) {
+            const auto [error, size] =
+                co_await asio::async_write(m_stream, beast::http::make_chunk(buffer), use_tuple);
+            check(error);
+        } else {
+            const auto [error, size] = co_await asio::async_write(m_stream, buffer, use_tuple);
+            check(error);
+        }
+    }
+
+    asio::awaitable<void> finish() override
+    {
+        if (!m_chunked)
+            co_return;
+        beast::get_lowest_layer(m_stream).expires_after(m_write_timeout);
+        const auto [error, size] =
+            co_await asio::async_write(m_stream, beast::http::make_chunk_last(), use_tuple);
+        check(error);
+    }
+
+    [[nodiscard]] bool started() const override { return m_started; }
+    [[nodiscard]] bool keep_alive() const { return m_keep_alive; }
+    void close_after_response() { m_keep_alive = false; }
+
+private:
+    template<typename Message>
+    void prepare(Message& message, int status, const std::vector<header_field>& headers)
+    {
+        beast::get_lowest_layer(m_stream).expires_after(m_write_timeout);
+        message.version(m_version);
+        message.result(static_cast<unsigned>(status));
+        for (const auto& [name, value] : headers)
+            message.set(name, value);
+        message.keep_alive(m_keep_alive);
+    }
+
+    static void check(const beast::error_code& error)
+    {
+        if (error)
+            throw caller_disconnected(error.message());
+    }
+
+    Stream& m_stream;
+    unsigned m_version;
+    bool m_keep_alive;
+    bool m_started = false;
+    bool m_chunked = false;
+    milliseconds m_write_timeout;
+};
+
+/// The result of reading one request: the request, or the refusal to answer before closing, or neither at the
+/// end of the connection.
+struct read_outcome {
+    std::optional<request> message;
+    std::optional<refusal> reason;
+    unsigned version = 11;
+    bool keep_alive = false;
+};
+
+/// Maps an error of the HTTP parser to the refusal that the caller gets.
+[[nodiscard]] inline refusal refusal_of(const beast::error_code& error, bool timed_out)
+{
+    if (error == beast::http::error::header_limit)
+        return {refusal_type::header_too_large, "the request header is too large"};
+    if (error == beast::http::error::body_limit)
+        return {refusal_type::body_too_large, "the request body is too large"};
+    if (timed_out)
+        return {refusal_type::request_timeout, "the request did not arrive in time"};
+    return {refusal_type::malformed, "malformed request: " + error.message()};
+}
+
+/// Converts a parsed message, splitting path and query.
+[[nodiscard]] request to_request(beast::http::request<beast::http::string_body>&& message);
+
+/// Reads one request. The idle timeout applies until its first byte, the request timeout after that.
+template<typename Stream>
+asio::awaitable<read_outcome> read_request(Stream& stream, beast::flat_buffer& buffer,
+                                           const server_limits& limits)
+{
+    auto& lowest = beast::get_lowest_layer(stream);
+    if (buffer.size() == 0) {
+        lowest.expires_after(limits.idle_timeout);
+        const auto [error, size] =
+            co_await stream.async_read_some(buffer.prepare(first_read_bytes), use_tuple);
+        if (error)
+            co_return read_outcome{};
+        buffer.commit(size);
+    }
+    lowest.expires_never();
+    const read_timer timer(lowest, limits.request_timeout);
+    beast::http::request_parser<beast::http::string_body> parser;
+    parser.header_limit(limits.header_bytes);
+    parser.body_limit(limits.body_bytes);
+    if (const auto [error, size] = co_await beast::http::async_read_header(stream, buffer, parser, use_tuple);
+        error)
+        co_return read_outcome{.message = {}, .reason = refusal_of(error, timer.expired())};
+    if (beast::iequals(parser.get()[beast::http::field::expect], "100-continue")) {
+        beast::http::response<beast::http::empty_body> go_on(beast::http::status::continue_, 11);
+        co_await beast::http::async_write(stream, go_on, use_tuple);
+    }
+    if (const auto [error, size] = co_await beast::http::async_read(stream, buffer, parser, use_tuple); error)
+        co_return read_outcome{.message = {}, .reason = refusal_of(error, timer.expired())};
+    read_outcome result;
+    result.version = parser.get().version();
+    result.keep_alive = parser.get().keep_alive();
+    result.message = to_request(parser.release());
+    co_return result;
+}
+
+} // namespace siskinwharf::http
--- /dev/null
+++ b/Libraries/http/src/connection_pool.cpp
@@ -0,0 +1,65 @@
+#include "connection_pool.h"
+
+#include "connection.h"
+
+namespace siskinwharf::http {
+
+namespace {
+
+using tcp = asio::ip::tcp;
+
+/// Endpoints are in the same failure domain or one slow link away; a connect that takes longer has failed.
+constexpr milliseconds connect_timeout{2'000};
+/// Kept idle connections for each address.
+constexpr std::size_t kept_connections = 64;
+
+/// An idle connection that is readable was closed by the other side, or carries bytes nobody asked for.
+bool is_usable(pooled_connection& candidate)
+{
+    auto& socket = candidate.stream.socket();
+    if (candidate.buffer.size() != 0)
+        return false;
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+} // namespace
+
+connection_pool::connection_pool(asio::any_io_executor executor) : m_executor(std::move(executor)) {}
+
+asio::awaitable<connection_pointer> connection_pool::connect(address target, bool may_reuse)
+{
+    auto& kept = m_kept[target];
+    while (may_reuse && !kept.empty()) {
+        auto candidate = std::move(kept.back());
+        kept.pop_back();
+        if (!is_usable(*candidate))
+            continue;
+        candidate->reused = true;
+        co_return candidate;
+    }
+    auto fresh = std::make_unique<pooled_connection>(m_executor);
+    fresh->stream.expires_after(connect_timeout);
+    boost::system::error_code parse_error;
+    const auto ip = asio::ip::make_address(target.ip, parse_error);
+    if (parse_error)
+        throw call_error(call_stage::before_send, "invalid address " + target.ip);
+    const tcp::endpoint endpoint(ip, target.port);
+    if (const auto [error] = co_await fresh->stream.async_connect(endpoint, use_tuple); error)
+        throw call_error(call_stage::before_send, "connect failed: " + error.message());
+    boost::system::error_code ignored;
+    fresh->stream.socket().set_option(tcp::no_delay(true), ignored);
+    co_return fresh;
+}
+
+void connection_pool::keep(const address& target, connection_pointer used)
+{
+    auto& kept = m_kept[target];
+    if (kept.size() < kept_connections)
+        kept.push_back(std::move(used));
+}
+
+} // namespace siskinwharf::http
