Routing: Add the routing table and the routing decision

Prefix affinity uses one consistent hash ring for each target and failure domain. Rendezvous hashing was weighed; it reads every endpoint of a group for each decision, while the ring lets groups above 128 endpoints be sampled.

--- /dev/null
+++ b/Libraries/routing/include/siskinwharf/routing/in_flight_guard.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <utility>
+
+#include "siskinwharf/base/time.h"
+#include "siskinwharf/routing/endpoint_load.h"
+
+namespace siskinwharf::routing {
+
+/// Holds one slot of an endpoint. Movable; frees the slot when released or destroyed, in any thread, and
+/// whether or not the endpoint is still in the routing table.
+class in_flight_guard {
+public:
+    in_flight_guard() = default;
+    /// Takes over a slot that `endpoint_load::try_begin` has granted for these token counts.
+    in_flight_guard(std::shared_ptr<endpoint_load> load, std::uint64_t prompt_tokens,
+                    std::uint64_t output_tokens)
+        : m_load(std::move(load)), m_queued_tokens(prompt_tokens), m_tokens(prompt_tokens + output_tokens)
+    {
+    }
+    in_flight_guard(const in_flight_guard&) = delete;
+    in_flight_guard& operator=(const in_flight_guard&) = delete;
+    in_flight_guard(in_flight_guard&& other) noexcept = default;
+    in_flight_guard& operator=(in_flight_guard&& other) noexcept
+    {
+        if (this == &other)
+            return *this;
+        release_at_latest_time();
+        m_load = std::move(other.m_load);
+        m_queued_tokens = other.m_queued_tokens;
+        m_tokens = other.m_tokens;
+        return *this;
+    }
+    ~in_flight_guard() { release_at_latest_time(); }
+
+    [[nodiscard]] bool holds_slot() const { return m_load != nullptr; }
+
+    /// The first token has arrived.
+    void prefill_done()
+    {
+        if (m_load)
+            m_load->prefill_done(std::exchange(m_queued_tokens, 0));
+    }
+
+    /// Frees the slot. Preferred over the destructor, which only knows the newest time the endpoint has seen.
+    void release(monotonic_time now)
+    {
+        if (auto load = std::move(m_load))
+            load->end(now, m_queued_tokens, m_tokens);
+    }
+
+private:
+    void release_at_latest_time()
+    {
+        if (auto load = std::move(m_load))
+            load->end_at_latest_time(m_queued_tokens, m_tokens);
+    }
+
+    std::shared_ptr<endpoint_load> m_load;
+    std::uint64_t m_queued_tokens = 0;
+    std::uint64_t m_tokens = 0;
+};
+
+} // namespace siskinwharf::routing
--- /dev/null
+++ b/Libraries/routing/include/siskinwharf/routing/read_copy_update.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+
+namespace siskinwharf::routing {
+
+/// Marks a read side of read-copy-update for the life of the object. Takes no lock and never waits. The first
+/// one of a thread registers the thread with liburcu; its end unregisters it.
+class rcu_read_section {
+public:
+    rcu_read_section();
+    rcu_read_section(const rcu_read_section&) = delete;
+    rcu_read_section& operator=(const rcu_read_section&) = delete;
+    rcu_read_section(rcu_read_section&&) = delete;
+    rcu_read_section& operator=(rcu_read_section&&) = delete;
+    ~rcu_read_section();
+};
+
+/// Waits until all read sections that began before the call have ended. Must not be called in one.
+void wait_for_readers();
+
+/// A pointer to an immutable value that one writer at a time replaces while any thread reads it.
+template<typename Value>
+class rcu_value {
+public:
+    explicit rcu_value(std::unique_ptr<const Value> value) : m_value(value.release()) {}
+    rcu_value(const rcu_value&) = delete;
+    rcu_value& operator=(const rcu_value&) = delete;
+    rcu_value(rcu_value&&) = delete;
+    rcu_value& operator=(rcu_value&&) = delete;
+    /// No reader may use the value any more.
+    ~rcu_value() { delete m_value.load(); }
+
+    /// The current value. Valid until the read section ends.
+    [[nodiscard]] const Value& read(const rcu_read_section&) const
+    {
+        return *m_value.load(std::memory_order_acquire);
+    }
+
+    /// Publishes a value. When the call returns, no reader uses an older one. The caller serialises writers.
+    void replace(std::unique_ptr<const Value> value)
+    {
+        const std::unique_ptr<const Value> old(m_value.exchange(value.release(), std::memory_order_acq_rel));
+        wait_for_readers();
+    }
+
+private:
+    std::atomic<const Value*> m_value;
+};
+
+} // namespace siskinwharf::routing
--- /dev/null
+++ b/Libraries/routing/src/group_selection.cpp
@@ -0,0 +1,160 @@
+#include "group_selection.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "siskinwharf/base/hash.h"
+
+namespace siskinwharf::routing {
+
+namespace {
+
+// Groups up to this size are read as a whole; a failure domain has 88 endpoints at the projected scale.
+// Larger ones are sampled, which keeps the time of a decision independent of their size.
+constexpr std::size_t sample_size = 128;
+// Deeper blocks are looked up first. A conversation adds a few blocks with each turn.
+constexpr std::size_t hint_lookups = 16;
+
+bool within_bound(const endpoint_entry& entry, double load_for_each_slot)
+{
+    return entry.load->streams() + 1 <= std::ceil(load_for_each_slot * entry.capacity);
+}
+
+double relative_load(const endpoint_entry& entry)
+{
+    return entry.capacity == 0 ? 1.0 : static_cast<double>(entry.load->streams()) / entry.capacity;
+}
+
+} // namespace
+
+group_selection::group_selection(const prepared_request& prepared, const endpoint_group& group,
+                                 nanoseconds round_trip)
+    : m_prepared(prepared), m_group(group), m_round_trip(round_trip)
+{
+}
+
+std::optional<selection> group_selection::select()
+{
+    return std::visit(*this, m_prepared.options.policy);
+}
+
+std::optional<selection> group_selection::operator()(const prefix_affinity& policy)
+{
+    std::uint64_t streams = 1;
+    std::uint64_t capacity = 0;
+    for (const auto& entry : sample()) {
+        streams += entry.load->streams();
+        capacity += entry.capacity;
+    }
+    if (capacity == 0)
+        return std::nullopt;
+    const double bound = policy.load_factor * static_cast<double>(streams) / static_cast<double>(capacity);
+    if (auto hinted = select_hinted(bound))
+        return hinted;
+    if (auto found = select_on_ring(bound))
+        return found;
+    // Every endpoint within the bound is excluded, full or too slow: any other one is better than none.
+    return (*this)(least_in_flight{});
+}
+
+std::optional<selection> group_selection::operator()(const round_robin&)
+{
+    const auto& endpoints = m_group.endpoints;
+    for (std::size_t step = 0; step < endpoints.size(); ++step) {
+        if (auto found = consider(endpoints[(m_prepared.turn + step) % endpoints.size()]))
+            return found;
+    }
+    return std::nullopt;
+}
+
+std::optional<selection> group_selection::operator()(const least_in_flight&)
+{
+    std::optional<selection> best;
+    double best_load = 0;
+    for (const auto& entry : sample()) {
+        const double load = relative_load(entry);
+        if (best && load >= best_load)
+            continue;
+        if (auto found = consider(entry)) {
+            best = found;
+            best_load = load;
+        }
+    }
+    return best;
+}
+
+std::span<const endpoint_entry> group_selection::sample() const
+{
+    const std::span<const endpoint_entry> all(m_group.endpoints);
+    if (all.size() <= sample_size)
+        return all;
+    // The endpoints are sorted by hash, so that any run of them is a random sample.
+    return all.subspan(mix64(m_prepared.turn) % (all.size() - sample_size + 1), sample_size);
+}
+
+bool group_selection::excluded(const endpoint_entry& entry) const
+{
+    const auto& keys = m_prepared.excluded_keys;
+    return std::find(keys.begin(), keys.end(), entry.key) != keys.end();
+}
+
+std::optional<selection> group_selection::consider(const endpoint_entry& entry, std::uint32_t cached_blocks)
+{
+    if (excluded(entry))
+        return std::nullopt;
+    m_saw_endpoint = true;
+    if (entry.load->streams() >= entry.capacity)
+        return std::nullopt;
+    m_saw_room = true;
+    const auto& request = m_prepared.request;
+    auto first_token = m_round_trip;
+    // An endpoint without any report yet counts as fast; otherwise a new one would never get its first
+    // request.
+    if (const double rate = entry.load->prefill_rate(); rate > 0) {
+        const auto cached = std::uint64_t{cached_blocks} * m_prepared.options.prompt_tokens_per_block;
+        const auto missing = request.prompt_tokens > cached ? request.prompt_tokens - cached : 0;
+        const double wait = static_cast<double>(entry.load->queued_prompt_tokens() + missing) / rate;
+        first_token += std::chrono::duration_cast<nanoseconds>(std::chrono::duration<double>(wait));
+    }
+    if (request.first_token_target.count() > 0 && first_token > request.first_token_target)
+        return std::nullopt;
+    return selection{&entry, cached_blocks, first_token};
+}
+
+std::optional<selection> group_selection::select_hinted(double load_for_each_slot)
+{
+    const auto& hashes = m_prepared.request.prefix_hashes;
+    const std::size_t lookups = std::min(hashes.size(), hint_lookups);
+    for (std::size_t step = 0; step < lookups; ++step) {
+        const auto blocks = hashes.size() - step;
+        const auto hint = m_prepared.hints.find(hashes[blocks - 1]);
+        if (!hint)
+            continue;
+        const auto* entry = m_group.find(hint->endpoint_key);
+        if (entry == nullptr || entry->load->hint_generation() != hint->generation ||
+            !within_bound(*entry, load_for_each_slot))
+            continue;
+        if (auto found = consider(*entry, static_cast<std::uint32_t>(blocks)))
+            return found;
+    }
+    return std::nullopt;
+}
+
+std::optional<selection> group_selection::select_on_ring(double load_for_each_slot)
+{
+    const auto& ring = m_group.ring;
+    auto point = std::ranges::lower_bound(ring, m_prepared.affinity_key, {}, &ring_point::position);
+    const std::size_t steps = std::min(ring.size(), 2 * sample_size);
+    for (std::size_t step = 0; step < steps; ++step, ++point) {
+        if (point == ring.end())
+            point = ring.begin();
+        const auto& entry = m_group.endpoints[point->index];
+        if (!within_bound(entry, load_for_each_slot))
+            continue;
+        if (auto found = consider(entry))
+            return found;
+    }
+    return std::nullopt;
+}
+
+} // namespace siskinwharf::routing
