--- a/Tests/standins/common/http_exchange.h
+++ b/Tests/standins/common/http_exchange.h
@@ -26,9 +26,9 @@
     [[nodiscard]] std::string header(const std::string& name) const;
     /// Unsigned decimal value of a query parameter. Throws `bad_request` if it is malformed.
     [[nodiscard]] std::uint64_t query_number(const std::string& name, std::uint64_t otherwise) const;
-    /// True if the method and the leading path segments match. `*` matches any one segment.
-    [[nodiscard]] bool matches(std::string_view wanted_method,
-                               std::initializer_list<std::string_view> wanted_segments) const;
+    /// True if the method matches and the path matches the pattern, in which the segment `*` stands for any
+    /// one.
+    [[nodiscard]] bool matches(std::string_view wanted_method, std::string_view pattern) const;
 };
 
 /// A response with a known body.
--- a/Tests/standins/common/http_request.cpp
+++ b/Tests/standins/common/http_request.cpp
@@ -23,18 +23,20 @@
     return value;
 }
 
-bool http_request::matches(std::string_view wanted_method,
-                           std::initializer_list<std::string_view> wanted_segments) const
+bool http_request::matches(std::string_view wanted_method, std::string_view pattern) const
 {
-    if (method != wanted_method || segments.size() != wanted_segments.size())
+    if (method != wanted_method)
         return false;
-    std::size_t index = 0;
-    for (const std::string_view wanted : wanted_segments) {
-        if (wanted != "*" && wanted != segments[index])
+    for (const std::string& segment : segments) {
+        if (pattern.empty())
             return false;
-        ++index;
+        pattern.remove_prefix(1); // The slash.
+        const std::string_view wanted = pattern.substr(0, pattern.find('/'));
+        if (wanted != "*" && wanted != segment)
+            return false;
+        pattern.remove_prefix(wanted.size());
     }
-    return true;
+    return pattern.empty();
 }
 
 } // namespace siskinwharf::standins
