Claims: Add the at-most-once claim of a non-idempotent call

The claim is a state machine that emits table writes and reads and takes their results, so that every interleaving can be driven without I/O. Permission to send is given once and only to the attempt that is named in the row.

Weighed: - An uncertain write that a read back does not find is blocked by a void row under the same condition instead of being written again. That costs the caller a resend but keeps one rule for not_run. - A token of an attempt that gave up also names the attempts that were released to it: after an uncertain replacement the row may hold either. At most 16 attempts bound the header; cleanup and the holder's word cover the rest. - A resend of a key with another body is refused as key_reused. Without the body digest it would get the response of a different request. - Dropping a cleanup entry when the list is full is safe, as the row stays held.

--- /dev/null
+++ b/Libraries/claims/include/siskinwharf/claims/claim_action.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <compare>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "siskinwharf/base/outcome.h"
+#include "siskinwharf/base/time.h"
+#include "siskinwharf/claims/claim_identity.h"
+#include "siskinwharf/claims/stored_response.h"
+#include "siskinwharf/platform/table.h"
+
+namespace siskinwharf::claims {
+
+/// Nothing to do: the event came too late or was not expected.
+struct no_action {
+    auto operator<=>(const no_action&) const = default;
+};
+
+/// Commit this write and pass the result to `claim::on_commit`.
+struct write_table {
+    platform::table_write write;
+
+    auto operator<=>(const write_table&) const = default;
+};
+
+/// Read this row after the delay and pass the result to `claim::on_read`.
+struct read_table {
+    std::string key;
+    milliseconds delay{0};
+
+    auto operator<=>(const read_table&) const = default;
+};
+
+/// The attempt may send its request once. Connecting to several endpoints in turn is covered as long as no
+/// byte of the request was sent. One of `claim::on_not_sent`, `on_finished` and `on_broken` must follow.
+struct may_send {
+    auto operator<=>(const may_send&) const = default;
+};
+
+/// Ask the entry process named in the row about its attempt and pass the reply to `claim::on_holder_reply`.
+struct ask_holder {
+    std::string holder;
+    attempt_number attempt = 0;
+
+    auto operator<=>(const ask_holder&) const = default;
+};
+
+/// Why a call is refused.
+enum class refusal_reason {
+    table_unavailable, ///< The table does not answer.
+    contention,        ///< Other attempts kept changing the row.
+    not_sent,          ///< No endpoint accepted a connection, or the holder gave up before it sent.
+    key_reused,        ///< The key belongs to a call with another body.
+    in_progress,       ///< Another attempt of this call is running.
+    holder_lost,       ///< The holder of the claim cannot say what became of its attempt.
+    connection_broken, ///< The connection broke after the first byte was sent.
+    unreadable_row,    ///< The row was written by an unknown version or is damaged.
+};
+
+[[nodiscard]] std::string_view to_string(refusal_reason reason);
+
+/// Refuse the call. A release token is for the caller, who presents it when it resends the call.
+struct refuse_call {
+    outcome result = outcome::unknown;
+    refusal_reason reason = refusal_reason::holder_lost;
+    std::string release_token;
+
+    auto operator<=>(const refuse_call&) const = default;
+};
+
+/// Answer with the response of an earlier attempt.
+struct return_stored {
+    stored_response response;
+
+    auto operator<=>(const return_stored&) const = default;
+};
+
+/// The call ended and nothing more has to be answered.
+struct claim_settled {
+    auto operator<=>(const claim_settled&) const = default;
+};
+
+using claim_action = std::variant<no_action, write_table, read_table, may_send, ask_holder, refuse_call,
+                                  return_stored, claim_settled>;
+
+/// What a holder says about its own attempt.
+struct holder_running {
+    auto operator<=>(const holder_running&) const = default;
+};
+
+/// The attempt has not sent and never will.
+struct holder_abandoned {
+    auto operator<=>(const holder_abandoned&) const = default;
+};
+
+struct holder_done {
+    stored_response response;
+
+    auto operator<=>(const holder_done&) const = default;
+};
+
+/// The attempt's connection broke, the holder does not answer, or it does not know the attempt.
+struct holder_unknown {
+    auto operator<=>(const holder_unknown&) const = default;
+};
+
+using holder_reply = std::variant<holder_running, holder_abandoned, holder_done, holder_unknown>;
+
+} // namespace siskinwharf::claims
--- /dev/null
+++ b/Libraries/claims/src/claim.cpp
@@ -0,0 +1,361 @@
+#include "siskinwharf/claims/claim.h"
+
+#include <utility>
+
+#include "siskinwharf/claims/release_token.h"
+
+namespace siskinwharf::claims {
+
+namespace {
+
+std::uint64_t version_after(const platform::write_condition& condition)
+{
+    const auto* version = std::get_if<platform::require_version>(&condition);
+    return version == nullptr ? 1 : version->version + 1;
+}
+
+bool holds(const platform::write_condition& condition, const std::optional<platform::table_row>& current)
+{
+    if (const auto* version = std::get_if<platform::require_version>(&condition))
+        return current && current->version == version->version;
+    return !current;
+}
+
+std::optional<platform::table_row> conflicting_row(const platform::table_conflict& conflict)
+{
+    return conflict.rows.empty() ? std::nullopt : conflict.rows.front().current;
+}
+
+std::optional<claim_row> try_decode(const platform::table_row& row)
+{
+    try {
+        return decode_claim_row(row.value);
+    } catch (const claim_row_error&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string_view to_string(refusal_reason reason)
+{
+    switch (reason) {
+    case refusal_reason::table_unavailable:
+        return "table_unavailable";
+    case refusal_reason::contention:
+        return "contention";
+    case refusal_reason::not_sent:
+        return "not_sent";
+    case refusal_reason::key_reused:
+        return "key_reused";
+    case refusal_reason::in_progress:
+        return "in_progress";
+    case refusal_reason::holder_lost:
+        return "holder_lost";
+    case refusal_reason::connection_broken:
+        return "connection_broken";
+    case refusal_reason::unreadable_row:
+        return "unreadable_row";
+    }
+    return "holder_lost";
+}
+
+std::string_view to_string(claim::phase value)
+{
+    constexpr std::array<std::string_view, 8> names{"created", "claiming", "reading_back", "voiding",
+                                                    "asking",  "sending",  "storing",      "ended"};
+    return names.at(static_cast<std::size_t>(value));
+}
+
+final_write_check check_final_write(claim_obligation& obligation,
+                                    const std::optional<platform::table_row>& current)
+{
+    if (holds(obligation.condition, current))
+        return final_write_check::retry;
+    const auto row = current ? try_decode(*current) : std::nullopt;
+    if (!row || row->attempt != obligation.row.attempt)
+        return final_write_check::superseded;
+    if (row->state != claim_state::held)
+        return row->state == obligation.row.state ? final_write_check::written
+                                                  : final_write_check::superseded;
+    obligation.condition = platform::require_version{current->version};
+    return final_write_check::retry;
+}
+
+claim::claim(claim_request request, std::string signing_key)
+    : m_request(std::move(request)),
+      m_signing_key(std::move(signing_key)),
+      m_row_key(claim_row_key(m_request.identity)),
+      m_released(verify_release(m_signing_key, m_request.identity, m_request.release_token))
+{
+}
+
+claim_action claim::start()
+{
+    if (m_phase != phase::created)
+        return no_action{};
+    return write_claim(platform::require_absent{});
+}
+
+claim_action claim::on_commit(const platform::commit_result& result)
+{
+    const bool committed = std::holds_alternative<platform::table_committed>(result);
+    const auto* conflict = std::get_if<platform::table_conflict>(&result);
+    if (m_phase == phase::claiming) {
+        if (committed)
+            return permit(version_after(m_condition));
+        if (conflict != nullptr)
+            return resolve(conflicting_row(*conflict));
+        if (std::holds_alternative<platform::table_unavailable>(result))
+            return refuse(outcome::not_run, refusal_reason::table_unavailable);
+        m_phase = phase::reading_back;
+        return read_table{m_row_key, read_back_delays.at(m_read_backs++)};
+    }
+    if (m_phase != phase::voiding && m_phase != phase::storing)
+        return no_action{};
+    if (committed) {
+        m_final_open = false;
+        return end_stored();
+    }
+    return conflict != nullptr ? on_final_conflict(*conflict) : on_final_lost();
+}
+
+claim_action claim::on_read(const platform::read_result& result)
+{
+    if (m_phase != phase::reading_back)
+        return no_action{};
+    const auto* current = std::get_if<std::optional<platform::table_row>>(&result);
+    if (current == nullptr) {
+        if (m_read_backs == read_back_delays.size())
+            return abandon();
+        return read_table{m_row_key, read_back_delays.at(m_read_backs++)};
+    }
+    // The write can still take effect, so that not_run must wait for a row that blocks it.
+    if (holds(m_condition, *current))
+        return write_final(own_row(claim_state::abandoned), m_condition, phase::voiding);
+    return resolve(*current);
+}
+
+claim_action claim::on_holder_reply(const holder_reply& reply)
+{
+    if (m_phase != phase::asking)
+        return no_action{};
+    if (std::holds_alternative<holder_abandoned>(reply)) {
+        m_released.insert(m_asked_attempt);
+        return write_claim(platform::require_version{m_version});
+    }
+    if (const auto* done = std::get_if<holder_done>(&reply)) {
+        m_phase = phase::ended;
+        return return_stored{done->response};
+    }
+    return refuse(outcome::unknown, std::holds_alternative<holder_running>(reply)
+                                        ? refusal_reason::in_progress
+                                        : refusal_reason::holder_lost);
+}
+
+claim_action claim::give_up()
+{
+    switch (m_phase) {
+    case phase::created:
+        return refuse(outcome::not_run, refusal_reason::not_sent);
+    case phase::claiming:
+    case phase::reading_back:
+        return abandon();
+    case phase::asking:
+        return refuse(outcome::unknown, refusal_reason::holder_lost);
+    case phase::voiding:
+    case phase::storing:
+        return on_final_lost();
+    case phase::sending:
+    case phase::ended:
+        return no_action{};
+    }
+    return no_action{};
+}
+
+claim_action claim::on_not_sent()
+{
+    if (m_phase != phase::sending)
+        return no_action{};
+    return write_final(own_row(claim_state::abandoned), platform::require_version{m_version}, phase::voiding);
+}
+
+claim_action claim::on_finished(stored_response response)
+{
+    if (m_phase != phase::sending)
+        return no_action{};
+    claim_row row = own_row(claim_state::done);
+    row.response = std::move(response);
+    return write_final(std::move(row), platform::require_version{m_version}, phase::storing);
+}
+
+claim_action claim::on_broken()
+{
+    if (m_phase != phase::sending)
+        return no_action{};
+    return write_final(own_row(claim_state::unknown), platform::require_version{m_version}, phase::storing);
+}
+
+holder_reply claim::reply_to_peer() const
+{
+    if (m_final) {
+        if (m_final->row.state == claim_state::abandoned)
+            return holder_abandoned{};
+        if (m_final->row.state == claim_state::done)
+            return holder_done{*m_final->row.response};
+        return holder_unknown{};
+    }
+    // An attempt that ended without a final row was refused before it got permission.
+    if (m_phase == phase::ended)
+        return holder_abandoned{};
+    return holder_running{};
+}
+
+std::optional<claim_obligation> claim::take_obligation()
+{
+    if (m_phase != phase::ended || !m_final_open)
+        return std::nullopt;
+    m_final_open = false;
+    return m_final;
+}
+
+claim_row claim::own_row(claim_state state) const
+{
+    return {state, m_request.attempt, m_request.holder, m_request.request_digest, std::nullopt};
+}
+
+claim_action claim::write_claim(platform::write_condition condition)
+{
+    if (m_claim_writes == maximum_claim_writes)
+        return refuse(outcome::not_run, refusal_reason::contention);
+    ++m_claim_writes;
+    m_read_backs = 0;
+    m_phase = phase::claiming;
+    m_condition = condition;
+    return write_table{{m_row_key, encode_claim_row(own_row(claim_state::held)), condition}};
+}
+
+claim_action claim::write_final(claim_row row, platform::write_condition condition, phase next)
+{
+    m_phase = next;
+    m_final = claim_obligation{m_row_key, std::move(row), condition};
+    m_final_open = true;
+    return write_table{{m_row_key, encode_claim_row(m_final->row), condition}};
+}
+
+claim_action claim::permit(std::uint64_t version)
+{
+    m_phase = phase::sending;
+    m_version = version;
+    return may_send{};
+}
+
+claim_action claim::resolve(const std::optional<platform::table_row>& current)
+{
+    if (!current)
+        return write_claim(platform::require_absent{});
+    const auto row = try_decode(*current);
+    if (!row)
+        return refuse(outcome::unknown, refusal_reason::unreadable_row);
+    if (row->attempt == m_request.attempt && row->state == claim_state::held)
+        return permit(current->version);
+    m_asked_attempt = row->attempt;
+    if (row->state == claim_state::abandoned)
+        return write_claim(platform::require_version{current->version});
+    if (row->state == claim_state::held && m_released.contains(row->attempt))
+        return write_claim(platform::require_version{current->version});
+    if (row->request_digest != m_request.request_digest)
+        return refuse(outcome::not_run, refusal_reason::key_reused);
+    return resolve_held(*row, current->version);
+}
+
+claim_action claim::resolve_held(const claim_row& row, std::uint64_t version)
+{
+    if (row.state == claim_state::done) {
+        m_phase = phase::ended;
+        return return_stored{*row.response};
+    }
+    if (row.state == claim_state::unknown)
+        return refuse(outcome::unknown, refusal_reason::connection_broken);
+    m_phase = phase::asking;
+    m_version = version;
+    return ask_holder{row.holder, row.attempt};
+}
+
+claim_action claim::on_final_conflict(const platform::table_conflict& conflict)
+{
+    const auto current = conflicting_row(conflict);
+    switch (check_final_write(*m_final, current)) {
+    case final_write_check::retry:
+        if (++m_final_retries > maximum_final_retries)
+            return on_final_lost();
+        return write_table{{m_row_key, encode_claim_row(m_final->row), m_final->condition}};
+    case final_write_check::written:
+        m_final_open = false;
+        return end_stored();
+    case final_write_check::superseded:
+        m_final_open = false;
+        break;
+    }
+    if (m_phase == phase::storing)
+        return end_stored();
+    // This attempt never sends, but the row tells what another attempt of the call does.
+    const auto row = current ? try_decode(*current) : std::nullopt;
+    if (current && !row)
+        return refuse(outcome::unknown, refusal_reason::unreadable_row);
+    if (!row || row->state == claim_state::abandoned || m_released.contains(row->attempt))
+        return refuse(outcome::not_run, refusal_reason::not_sent);
+    if (row->state == claim_state::done) {
+        m_phase = phase::ended;
+        return return_stored{*row->response};
+    }
+    return refuse(outcome::unknown, row->state == claim_state::held ? refusal_reason::in_progress
+                                                                    : refusal_reason::connection_broken);
+}
+
+claim_action claim::on_final_lost()
+{
+    if (m_phase == phase::storing)
+        return end_stored();
+    m_released.insert(m_request.attempt);
+    return refuse(outcome::not_run, refusal_reason::table_unavailable);
+}
+
+claim_action claim::abandon()
+{
+    // The obligation starts from the condition of the uncertain write: only a row under the same condition
+    // blocks it.
+    m_final = claim_obligation{m_row_key, own_row(claim_state::abandoned), m_condition};
+    m_final_open = true;
+    m_released.insert(m_request.attempt);
+    return refuse(outcome::not_run, refusal_reason::table_unavailable);
+}
+
+claim_action claim::end_stored()
+{
+    switch (m_final->row.state) {
+    case claim_state::abandoned:
+        // The void row replaced every claim that a presented token could release.
+        m_released.clear();
+        return refuse(outcome::not_run, refusal_reason::not_sent);
+    case claim_state::unknown:
+        return refuse(outcome::unknown, refusal_reason::connection_broken);
+    case claim_state::held:
+    case claim_state::done:
+        break;
+    }
+    m_phase = phase::ended;
+    return claim_settled{};
+}
+
+claim_action claim::refuse(outcome result, refusal_reason reason)
+{
+    m_phase = phase::ended;
+    std::string token;
+    if (result == outcome::not_run)
+        token =
+            sign_release(m_signing_key, m_request.identity, m_released, {m_asked_attempt, m_request.attempt});
+    return refuse_call{result, reason, std::move(token)};
+}
+
+} // namespace siskinwharf::claims
--- /dev/null
+++ b/Libraries/claims/src/release_token.cpp
@@ -0,0 +1,80 @@
+#include "siskinwharf/claims/release_token.h"
+
+#include <algorithm>
+#include <charconv>
+#include <iterator>
+#include <optional>
+
+#include "siskinwharf/base/digest.h"
+
+namespace siskinwharf::claims {
+
+namespace {
+
+constexpr std::string_view part_prefix = "v1:";
+
+std::string signature(std::string_view signing_key, const claim_identity& identity, attempt_number attempt)
+{
+    // The row key ends with a digest of fixed length, so the concatenation is unambiguous.
+    return to_hex(
+        hmac_sha256(signing_key, "release/v1/" + claim_row_key(identity) + "/" + std::to_string(attempt)));
+}
+
+std::optional<attempt_number> verify_part(std::string_view signing_key, const claim_identity& identity,
+                                          std::string_view part)
+{
+    if (!part.starts_with(part_prefix))
+        return std::nullopt;
+    part.remove_prefix(part_prefix.size());
+    attempt_number attempt = 0;
+    const auto [end, error] = std::from_chars(part.data(), part.data() + part.size(), attempt);
+    if (error != std::errc{} || end == part.data() + part.size() || *end != ':')
+        return std::nullopt;
+    part.remove_prefix(static_cast<std::size_t>(end - part.data()) + 1);
+    if (!equal_constant_time(part, signature(signing_key, identity, attempt)))
+        return std::nullopt;
+    return attempt;
+}
+
+} // namespace
+
+std::string sign_release(std::string_view signing_key, const claim_identity& identity,
+                         const std::set<attempt_number>& attempts, const std::set<attempt_number>& required)
+{
+    std::set<attempt_number> kept;
+    std::set_intersection(attempts.begin(), attempts.end(), required.begin(), required.end(),
+                          std::inserter(kept, kept.end()));
+    for (auto next = attempts.begin(); next != attempts.end() && kept.size() < maximum_released_attempts;
+         ++next)
+        kept.insert(*next);
+    std::string token;
+    for (const attempt_number attempt : kept) {
+        if (!token.empty())
+            token.push_back(',');
+        token.append(part_prefix)
+            .append(std::to_string(attempt))
+            .append(":")
+            .append(signature(signing_key, identity, attempt));
+    }
+    return token;
+}
+
+std::set<attempt_number> verify_release(std::string_view signing_key, const claim_identity& identity,
+                                        std::string_view token)
+{
+    std::set<attempt_number> attempts;
+    for (std::size_t parts = 0; parts < maximum_released_attempts && !token.empty(); ++parts) {
+        const std::size_t comma = token.find(',');
+        std::string_view part = token.substr(0, comma);
+        token.remove_prefix(comma == std::string_view::npos ? token.size() : comma + 1);
+        while (part.starts_with(' '))
+            part.remove_prefix(1);
+        while (part.ends_with(' '))
+            part.remove_suffix(1);
+        if (const auto attempt = verify_part(signing_key, identity, part))
+            attempts.insert(*attempt);
+    }
+    return attempts;
+}
+
+} // namespace siskinwharf::claims
