--- /dev/null
+++ b/Libraries/peer/include/siskinwharf/peer/messages.h
@@ -0,0 +1,295 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "siskinwharf/base/identifier.h"
+#include "siskinwharf/base/time.h"
+
+namespace siskinwharf::peer {
+
+/// IP address and port at which an entry process receives peer messages, the same port for UDP and TCP.
+struct address {
+    std::string host;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const address&) const = default;
+};
+
+/// State of an entry process as its peers see it, in the order in which the states override each other at the
+/// same incarnation.
+enum class member_state : std::uint8_t { alive, suspected, dead, left };
+
+/// What one entry process claims about another. Only the member itself raises its incarnation.
+struct member_update {
+    instance_id member;
+    address contact;
+    member_state state = member_state::alive;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const member_update&) const = default;
+};
+
+/// State of an endpoint, in the order in which the states override each other at the same incarnation.
+enum class endpoint_state : std::uint8_t { live, leaving, dead };
+
+/// What one entry process claims about an endpoint. The incarnation is the start time of the endpoint's
+/// instance in milliseconds since the epoch.
+struct endpoint_notice {
+    endpoint_id endpoint;
+    endpoint_state state = endpoint_state::live;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const endpoint_notice&) const = default;
+};
+
+/// News that travels with every probe message.
+struct gossip {
+    std::vector<member_update> members;
+    std::vector<endpoint_notice> endpoints;
+    std::uint64_t sheet_version = 0; ///< Newest version that the sender knows.
+
+    auto operator<=>(const gossip&) const = default;
+};
+
+/// Asks the recipient for an `ack` with the same number.
+struct ping {
+    std::uint64_t number = 0;
+    gossip news;
+
+    auto operator<=>(const ping&) const = default;
+};
+
+/// Answers a `ping`, or reports to the sender of a `ping_request` that its target answered.
+struct ack {
+    std::uint64_t number = 0;
+    gossip news;
+
+    auto operator<=>(const ack&) const = default;
+};
+
+/// Asks the recipient to probe `target` and to send an `ack` with this number if the target answers.
+struct ping_request {
+    std::uint64_t number = 0;
+    instance_id target;
+    address contact;
+    gossip news;
+
+    auto operator<=>(const ping_request&) const = default;
+};
+
+/// Announces a started process; the reply is a `member_sync`.
+struct member_join {
+    member_update member;
+
+    auto operator<=>(const member_join&) const = default;
+};
+
+/// Everything the sender knows about the members and the departed endpoints of its failure domain.
+struct member_sync {
+    gossip state;
+
+    auto operator<=>(const member_sync&) const = default;
+};
+
+/// Load of one endpoint as seen by the entry process that polls it.
+struct load_digest {
+    std::uint32_t endpoint_key = 0; ///< See `endpoint_key(endpoint_id)`.
+    std::uint32_t in_flight = 0;
+    std::uint32_t free_slots = 0;
+    std::uint32_t sequence = 0; ///< Rises with each poll; a lower one is stale.
+
+    auto operator<=>(const load_digest&) const = default;
+};
+
+/// Shortens an endpoint's id for load digests. With 88 endpoints in a failure domain, the probability of any
+/// collision is below one in a million; a receiver that knows two endpoints with one key ignores the digest.
+[[nodiscard]] std::uint32_t endpoint_key(const endpoint_id& endpoint);
+
+/// Loads of the endpoints that the sender polls.
+struct load_report {
+    std::vector<load_digest> loads;
+
+    auto operator<=>(const load_report&) const = default;
+};
+
+/// Reports leaving or dead endpoints directly, without waiting for the next probe.
+struct endpoint_notices {
+    std::vector<endpoint_notice> notices;
+
+    auto operator<=>(const endpoint_notices&) const = default;
+};
+
+/// Capacity of one model version in a failure domain.
+struct summary_row {
+    model_id model;
+    std::string version;
+    std::uint32_t healthy = 0;    ///< Replicas that accept new work.
+    std::uint32_t free_slots = 0; ///< Requests that can start at once.
+    std::uint32_t price = 0;      ///< Cents for a million generated tokens.
+
+    auto operator<=>(const summary_row&) const = default;
+};
+
+/// Compact capacity of a failure domain. A higher sequence is newer.
+struct domain_summary {
+    failure_domain_id domain;
+    std::uint64_t sequence = 0; ///< Milliseconds since the epoch at which the summary was made.
+    std::vector<summary_row> rows;
+
+    auto operator<=>(const domain_summary&) const = default;
+};
+
+/// Which summary of a failure domain the sender has.
+struct summary_version {
+    failure_domain_id domain;
+    std::uint64_t sequence = 0;
+
+    auto operator<=>(const summary_version&) const = default;
+};
+
+/// Gives the sender's own summary and asks for all that are newer than the known ones.
+struct summary_request {
+    domain_summary own;
+    std::vector<summary_version> known;
+
+    auto operator<=>(const summary_request&) const = default;
+};
+
+/// Summaries that are newer than the known ones of a `summary_request`.
+struct summary_reply {
+    std::vector<domain_summary> newer;
+
+    auto operator<=>(const summary_reply&) const = default;
+};
+
+/// Asks for the text of a sheet; version 0 asks for the newest.
+struct sheet_request {
+    std::uint64_t version = 0;
+
+    auto operator<=>(const sheet_request&) const = default;
+};
+
+/// The text of a sheet; version 0 with an empty text when the sender has no such version.
+struct sheet_reply {
+    std::uint64_t version = 0;
+    std::string text;
+
+    auto operator<=>(const sheet_reply&) const = default;
+};
+
+/// Asks whether the recipient holds a request.
+struct locate_request {
+    request_id request;
+
+    auto operator<=>(const locate_request&) const = default;
+};
+
+enum class locate_state : std::uint8_t { unknown, running, done };
+
+/// Says which entry process holds the record of a request, as far as the sender knows.
+struct locate_reply {
+    request_id request;
+    locate_state state = locate_state::unknown;
+    instance_id holder; ///< Empty if the state is unknown.
+
+    auto operator<=>(const locate_reply&) const = default;
+};
+
+/// The whole state of an accepted request, from which a peer continues it.
+struct request_record {
+    request_id request;
+    account_id account;
+    std::string body;   ///< The caller's whole request body.
+    std::string target; ///< Name of the model or service.
+    std::uint64_t produced_tokens = 0;
+    std::string produced;               ///< Bytes of the answer so far.
+    std::uint64_t delivered_offset = 0; ///< First token that the caller has not received.
+    endpoint_id endpoint;
+    std::uint32_t attempt = 0;
+    milliseconds deadline_remaining{0}; ///< A duration, because peers share no monotonic clock.
+    bool streaming = false;
+
+    auto operator<=>(const request_record&) const = default;
+};
+
+/// Hands a request over. The sender stops serving it only after an accepting `handover_reply`.
+struct handover_request {
+    request_record record;
+
+    auto operator<=>(const handover_request&) const = default;
+};
+
+/// Whether the sender now holds the record.
+struct handover_reply {
+    request_id request;
+    bool accepted = false;
+
+    auto operator<=>(const handover_reply&) const = default;
+};
+
+/// Asks the holder of a claim what became of its attempt.
+struct claim_status_request {
+    account_id account;
+    std::string key; ///< The caller's idempotency key.
+    std::uint64_t attempt = 0;
+
+    auto operator<=>(const claim_status_request&) const = default;
+};
+
+/// State of a claim. Only the holder may answer `voided`: the call did not run and will not run.
+enum class claim_state : std::uint8_t { unknown, running, voided, done };
+
+/// Answer to a `claim_status_request`.
+struct claim_status_reply {
+    claim_state state = claim_state::unknown;
+    std::uint64_t attempt = 0;
+
+    auto operator<=>(const claim_status_reply&) const = default;
+};
+
+/// How many endpoints a request has crashed, by account and content digest.
+struct quarantine_entry {
+    account_id account;
+    std::string content_digest; ///< SHA-256 as 32 raw bytes.
+    std::uint32_t crashes = 0;
+
+    auto operator<=>(const quarantine_entry&) const = default;
+};
+
+/// Crash counts that the recipient merges by taking the higher count.
+struct quarantine_update {
+    std::vector<quarantine_entry> entries;
+
+    auto operator<=>(const quarantine_update&) const = default;
+};
+
+/// Asks the recipient to send no new work to an endpoint while a suspect request runs there alone. A hold of
+/// zero ends the isolation.
+struct isolation_request {
+    endpoint_id endpoint;
+    request_id request;
+    milliseconds hold{0};
+
+    auto operator<=>(const isolation_request&) const = default;
+};
+
+/// Whether the sender keeps the endpoint clear, and how many of its requests still run there.
+struct isolation_reply {
+    bool granted = false;
+    std::uint32_t in_flight = 0;
+
+    auto operator<=>(const isolation_reply&) const = default;
+};
+
+/// All messages. The position of a type is its number in the frame: append new ones at the end.
+using message = std::variant<ping, ack, ping_request, member_join, member_sync, load_report, endpoint_notices,
+                             summary_request, summary_reply, sheet_request, sheet_reply, locate_request,
+                             locate_reply, handover_request, handover_reply, claim_status_request,
+                             claim_status_reply, quarantine_update, isolation_request, isolation_reply>;
+
+} // namespace siskinwharf::peer
--- /dev/null
+++ b/Libraries/peer/peer.thrift
@@ -0,0 +1,167 @@
+// Wire format of the messages between entry processes. Meta/generate-peer.sh generates the C++ code.
+// Field numbers are never reused and new fields are only added, so that processes of neighbouring versions
+// understand each other. Unsigned integers travel as signed ones of the same width.
+namespace cpp siskinwharf.peer.wire
+
+struct address {
+  1: string host
+  2: i32 port
+}
+
+struct member_update {
+  1: string member
+  2: address contact
+  3: i8 state
+  4: i64 incarnation
+}
+
+struct endpoint_notice {
+  1: string endpoint
+  2: i8 state
+  3: i64 incarnation
+}
+
+struct gossip {
+  1: list<member_update> members
+  2: list<endpoint_notice> endpoints
+  3: i64 sheet_version
+}
+
+struct ping {
+  1: i64 number
+  2: gossip news
+}
+
+struct ack {
+  1: i64 number
+  2: gossip news
+}
+
+struct ping_request {
+  1: i64 number
+  2: string target
+  3: address contact
+  4: gossip news
+}
+
+struct member_join {
+  1: member_update member
+}
+
+struct member_sync {
+  1: gossip state
+}
+
+// One list for each field: a list of structs would cost five more bytes for each endpoint.
+struct load_report {
+  1: list<i32> endpoint_keys
+  2: list<i32> in_flight
+  3: list<i32> free_slots
+  4: list<i32> sequences
+}
+
+struct endpoint_notices {
+  1: list<endpoint_notice> notices
+}
+
+struct summary_row {
+  1: string model
+  2: string version
+  3: i32 healthy
+  4: i32 free_slots
+  5: i32 price
+}
+
+struct domain_summary {
+  1: string domain
+  2: i64 sequence
+  3: list<summary_row> rows
+}
+
+struct summary_version {
+  1: string domain
+  2: i64 sequence
+}
+
+struct summary_request {
+  1: domain_summary own
+  2: list<summary_version> known
+}
+
+struct summary_reply {
+  1: list<domain_summary> newer
+}
+
+struct sheet_request {
+  1: i64 version
+}
+
+struct sheet_reply {
+  1: i64 version
+  2: string text
+}
+
+struct locate_request {
+  1: string request
+}
+
+struct locate_reply {
+  1: string request
+  2: i8 state
+  3: string holder
+}
+
+struct request_record {
+  1: string request
+  2: string account
+  3: binary body
+  4: string target
+  5: i64 produced_tokens
+  6: binary produced
+  7: i64 delivered_offset
+  8: string endpoint
+  9: i32 attempt
+  10: i64 deadline_remaining_ms
+  11: bool streaming
+}
+
+struct handover_request {
+  1: request_record record
+}
+
+struct handover_reply {
+  1: string request
+  2: bool accepted
+}
+
+struct claim_status_request {
+  1: string account
+  2: string key
+  3: i64 attempt
+}
+
+struct claim_status_reply {
+  1: i8 state
+  2: i64 attempt
+}
+
+struct quarantine_entry {
+  1: string account
+  2: binary digest
+  3: i32 crashes
+}
+
+struct quarantine_update {
+  1: list<quarantine_entry> entries
+}
+
+struct isolation_request {
+  1: string endpoint
+  2: string request
+  3: i64 hold_ms
+}
+
+struct isolation_reply {
+  1: bool granted
+  2: i32 in_flight
+}
--- /dev/null
+++ b/Libraries/peer/src/conversion.cpp
@@ -0,0 +1,493 @@
+#include "conversion.h"
+
+#include <algorithm>
+#include <array>
+#include <type_traits>
+
+#include "siskinwharf/base/hash.h"
+#include "wire.h"
+
+namespace siskinwharf::peer {
+
+namespace {
+
+// Thrift has signed integers only; the bits are kept.
+std::int64_t to_signed(std::uint64_t value)
+{
+    return static_cast<std::int64_t>(value);
+}
+
+std::int32_t to_signed(std::uint32_t value)
+{
+    return static_cast<std::int32_t>(value);
+}
+
+std::uint64_t to_unsigned(std::int64_t value)
+{
+    return static_cast<std::uint64_t>(value);
+}
+
+std::uint32_t to_unsigned(std::int32_t value)
+{
+    return static_cast<std::uint32_t>(value);
+}
+
+template<typename Enum>
+std::int8_t to_byte(Enum value)
+{
+    return static_cast<std::int8_t>(value);
+}
+
+template<typename Enum>
+Enum to_enum(std::int8_t value, Enum last)
+{
+    if (value < 0 || value > static_cast<std::int8_t>(last))
+        throw wire_error("enumerator out of range");
+    return static_cast<Enum>(value);
+}
+
+milliseconds to_duration(std::int64_t value)
+{
+    // Bounds keep later additions to a time point, in nanoseconds, from overflowing.
+    constexpr std::int64_t longest = 7LL * 24 * 3600 * 1000;
+    return milliseconds(std::clamp<std::int64_t>(value, 0, longest));
+}
+
+wire::address to_wire(const address& value)
+{
+    wire::address result;
+    result.host = value.host;
+    result.port = value.port;
+    return result;
+}
+
+address from_wire(const wire::address& value)
+{
+    if (value.port < 0 || value.port > UINT16_MAX)
+        throw wire_error("port out of range");
+    return {value.host, static_cast<std::uint16_t>(value.port)};
+}
+
+wire::member_update to_wire(const member_update& value)
+{
+    wire::member_update result;
+    result.member = value.member.value();
+    result.contact = to_wire(value.contact);
+    result.state = to_byte(value.state);
+    result.incarnation = to_signed(value.incarnation);
+    return result;
+}
+
+member_update from_wire(const wire::member_update& value)
+{
+    return {instance_id(value.member), from_wire(value.contact), to_enum(value.state, member_state::left),
+            to_unsigned(value.incarnation)};
+}
+
+wire::endpoint_notice to_wire(const endpoint_notice& value)
+{
+    wire::endpoint_notice result;
+    result.endpoint = value.endpoint.value();
+    result.state = to_byte(value.state);
+    result.incarnation = to_signed(value.incarnation);
+    return result;
+}
+
+endpoint_notice from_wire(const wire::endpoint_notice& value)
+{
+    return {endpoint_id(value.endpoint), to_enum(value.state, endpoint_state::dead),
+            to_unsigned(value.incarnation)};
+}
+
+wire::summary_row to_wire(const summary_row& value)
+{
+    wire::summary_row result;
+    result.model = value.model.value();
+    result.version = value.version;
+    result.healthy = to_signed(value.healthy);
+    result.free_slots = to_signed(value.free_slots);
+    result.price = to_signed(value.price);
+    return result;
+}
+
+summary_row from_wire(const wire::summary_row& value)
+{
+    return {model_id(value.model), value.version, to_unsigned(value.healthy), to_unsigned(value.free_slots),
+            to_unsigned(value.price)};
+}
+
+wire::summary_version to_wire(const summary_version& value)
+{
+    wire::summary_version result;
+    result.domain = value.domain.value();
+    result.sequence = to_signed(value.sequence);
+    return result;
+}
+
+summary_version from_wire(const wire::summary_version& value)
+{
+    return {failure_domain_id(value.domain), to_unsigned(value.sequence)};
+}
+
+wire::quarantine_entry to_wire(const quarantine_entry& value)
+{
+    wire::quarantine_entry result;
+    result.account = value.account.value();
+    result.digest = value.content_digest;
+    result.crashes = to_signed(value.crashes);
+    return result;
+}
+
+quarantine_entry from_wire(const wire::quarantine_entry& value)
+{
+    return {account_id(value.account), value.digest, to_unsigned(value.crashes)};
+}
+
+// Declared here because summaries are elements of lists and contain one themselves.
+wire::domain_summary to_wire(const domain_summary& value);
+domain_summary from_wire(const wire::domain_summary& value);
+
+// Converts each element with `to_wire`.
+template<typename Element>
+auto list_to_wire(const std::vector<Element>& values)
+{
+    std::vector<decltype(to_wire(std::declval<const Element&>()))> result;
+    result.reserve(values.size());
+    for (const Element& value : values)
+        result.push_back(to_wire(value));
+    return result;
+}
+
+// Converts each element with `from_wire`.
+template<typename Element>
+auto list_from_wire(const std::vector<Element>& values)
+{
+    std::vector<decltype(from_wire(std::declval<const Element&>()))> result;
+    result.reserve(values.size());
+    for (const Element& value : values)
+        result.push_back(from_wire(value));
+    return result;
+}
+
+wire::domain_summary to_wire(const domain_summary& value)
+{
+    wire::domain_summary result;
+    result.domain = value.domain.value();
+    result.sequence = to_signed(value.sequence);
+    result.rows = list_to_wire(value.rows);
+    return result;
+}
+
+domain_summary from_wire(const wire::domain_summary& value)
+{
+    return {failure_domain_id(value.domain), to_unsigned(value.sequence), list_from_wire(value.rows)};
+}
+
+wire::gossip to_wire(const gossip& value)
+{
+    wire::gossip result;
+    result.members = list_to_wire(value.members);
+    result.endpoints = list_to_wire(value.endpoints);
+    result.sheet_version = to_signed(value.sheet_version);
+    return result;
+}
+
+gossip from_wire(const wire::gossip& value)
+{
+    return {list_from_wire(value.members), list_from_wire(value.endpoints), to_unsigned(value.sheet_version)};
+}
+
+} // namespace
+
+std::uint32_t endpoint_key(const endpoint_id& endpoint)
+{
+    return static_cast<std::uint32_t>(hash64(endpoint.value()));
+}
+
+wire::ping to_wire(const ping& value)
+{
+    wire::ping result;
+    result.number = to_signed(value.number);
+    result.news = to_wire(value.news);
+    return result;
+}
+
+ping from_wire(const wire::ping& value)
+{
+    return {to_unsigned(value.number), from_wire(value.news)};
+}
+
+wire::ack to_wire(const ack& value)
+{
+    wire::ack result;
+    result.number = to_signed(value.number);
+    result.news = to_wire(value.news);
+    return result;
+}
+
+ack from_wire(const wire::ack& value)
+{
+    return {to_unsigned(value.number), from_wire(value.news)};
+}
+
+wire::ping_request to_wire(const ping_request& value)
+{
+    wire::ping_request result;
+    result.number = to_signed(value.number);
+    result.target = value.target.value();
+    result.contact = to_wire(value.contact);
+    result.news = to_wire(value.news);
+    return result;
+}
+
+ping_request from_wire(const wire::ping_request& value)
+{
+    return {to_unsigned(value.number), instance_id(value.target), from_wire(value.contact),
+            from_wire(value.news)};
+}
+
+wire::member_join to_wire(const member_join& value)
+{
+    wire::member_join result;
+    result.member = to_wire(value.member);
+    return result;
+}
+
+member_join from_wire(const wire::member_join& value)
+{
+    return {from_wire(value.member)};
+}
+
+wire::member_sync to_wire(const member_sync& value)
+{
+    wire::member_sync result;
+    result.state = to_wire(value.state);
+    return result;
+}
+
+member_sync from_wire(const wire::member_sync& value)
+{
+    return {from_wire(value.state)};
+}
+
+wire::load_report to_wire(const load_report& value)
+{
+    wire::load_report result;
+    for (const auto& [key, in_flight, free_slots, sequence] : value.loads) {
+        result.endpoint_keys.push_back(to_signed(key));
+        result.in_flight.push_back(to_signed(in_flight));
+        result.free_slots.push_back(to_signed(free_slots));
+        result.sequences.push_back(to_signed(sequence));
+    }
+    return result;
+}
+
+load_report from_wire(const wire::load_report& value)
+{
+    const std::size_t size = value.endpoint_keys.size();
+    if (value.in_flight.size() != size || value.free_slots.size() != size || value.sequences.size() != size)
+        throw wire_error("lists of different lengths");
+    load_report result;
+    result.loads.reserve(size);
+    for (std::size_t index = 0; index < size; ++index) {
+        result.loads.push_back({to_unsigned(value.endpoint_keys[index]), to_unsigned(value.in_flight[index]),
+                                to_unsigned(value.free_slots[index]), to_unsigned(value.sequences[index])});
+    }
+    return result;
+}
+
+wire::endpoint_notices to_wire(const endpoint_notices& value)
+{
+    wire::endpoint_notices result;
+    result.notices = list_to_wire(value.notices);
+    return result;
+}
+
+endpoint_notices from_wire(const wire::endpoint_notices& value)
+{
+    return {list_from_wire(value.notices)};
+}
+
+wire::summary_request to_wire(const summary_request& value)
+{
+    wire::summary_request result;
+    result.own = to_wire(value.own);
+    result.known = list_to_wire(value.known);
+    return result;
+}
+
+summary_request from_wire(const wire::summary_request& value)
+{
+    return {from_wire(value.own), list_from_wire(value.known)};
+}
+
+wire::summary_reply to_wire(const summary_reply& value)
+{
+    wire::summary_reply result;
+    result.newer = list_to_wire(value.newer);
+    return result;
+}
+
+summary_reply from_wire(const wire::summary_reply& value)
+{
+    return {list_from_wire(value.newer)};
+}
+
+wire::sheet_request to_wire(const sheet_request& value)
+{
+    wire::sheet_request result;
+    result.version = to_signed(value.version);
+    return result;
+}
+
+sheet_request from_wire(const wire::sheet_request& value)
+{
+    return {to_unsigned(value.version)};
+}
+
+wire::sheet_reply to_wire(const sheet_reply& value)
+{
+    wire::sheet_reply result;
+    result.version = to_signed(value.version);
+    result.text = value.text;
+    return result;
+}
+
+sheet_reply from_wire(const wire::sheet_reply& value)
+{
+    return {to_unsigned(value.version), value.text};
+}
+
+wire::locate_request to_wire(const locate_request& value)
+{
+    wire::locate_request result;
+    result.request = value.request.value();
+    return result;
+}
+
+locate_request from_wire(const wire::locate_request& value)
+{
+    return {request_id(value.request)};
+}
+
+wire::locate_reply to_wire(const locate_reply& value)
+{
+    wire::locate_reply result;
+    result.request = value.request.value();
+    result.state = to_byte(value.state);
+    result.holder = value.holder.value();
+    return result;
+}
+
+locate_reply from_wire(const wire::locate_reply& value)
+{
+    return {request_id(value.request), to_enum(value.state, locate_state::done), instance_id(value.holder)};
+}
+
+wire::handover_request to_wire(const handover_request& value)
+{
+    const request_record& record = value.record;
+    wire::handover_request result;
+    result.record.request = record.request.value();
+    result.record.account = record.account.value();
+    result.record.body = record.body;
+    result.record.target = record.target;
+    result.record.produced_tokens = to_signed(record.produced_tokens);
+    result.record.produced = record.produced;
+    result.record.delivered_offset = to_signed(record.delivered_offset);
+    result.record.endpoint = record.endpoint.value();
+    result.record.attempt = to_signed(record.attempt);
+    result.record.deadline_remaining_ms = record.deadline_remaining.count();
+    result.record.streaming = record.streaming;
+    return result;
+}
+
+handover_request from_wire(const wire::handover_request& value)
+{
+    const wire::request_record& record = value.record;
+    return {{request_id(record.request), account_id(record.account), record.body, record.target,
+             to_unsigned(record.produced_tokens), record.produced, to_unsigned(record.delivered_offset),
+             endpoint_id(record.endpoint), to_unsigned(record.attempt),
+             to_duration(record.deadline_remaining_ms), record.streaming}};
+}
+
+wire::handover_reply to_wire(const handover_reply& value)
+{
+    wire::handover_reply result;
+    result.request = value.request.value();
+    result.accepted = value.accepted;
+    return result;
+}
+
+handover_reply from_wire(const wire::handover_reply& value)
+{
+    return {request_id(value.request), value.accepted};
+}
+
+wire::claim_status_request to_wire(const claim_status_request& value)
+{
+    wire::claim_status_request result;
+    result.account = value.account.value();
+    result.key = value.key;
+    result.attempt = to_signed(value.attempt);
+    return result;
+}
+
+claim_status_request from_wire(const wire::claim_status_request& value)
+{
+    return {account_id(value.account), value.key, to_unsigned(value.attempt)};
+}
+
+wire::claim_status_reply to_wire(const claim_status_reply& value)
+{
+    wire::claim_status_reply result;
+    result.state = to_byte(value.state);
+    result.attempt = to_signed(value.attempt);
+    return result;
+}
+
+claim_status_reply from_wire(const wire::claim_status_reply& value)
+{
+    return {to_enum(value.state, claim_state::done), to_unsigned(value.attempt)};
+}
+
+wire::quarantine_update to_wire(const quarantine_update& value)
+{
+    wire::quarantine_update result;
+    result.entries = list_to_wire(value.entries);
+    return result;
+}
+
+quarantine_update from_wire(const wire::quarantine_update& value)
+{
+    return {list_from_wire(value.entries)};
+}
+
+wire::isolation_request to_wire(const isolation_request& value)
+{
+    wire::isolation_request result;
+    result.endpoint = value.endpoint.value();
+    result.request = value.request.value();
+    result.hold_ms = value.hold.count();
+    return result;
+}
+
+isolation_request from_wire(const wire::isolation_request& value)
+{
+    return {endpoint_id(value.endpoint), request_id(value.request), to_duration(value.hold_ms)};
+}
+
+wire::isolation_reply to_wire(const isolation_reply& value)
+{
+    wire::isolation_reply result;
+    result.granted = value.granted;
+    result.in_flight = to_signed(value.in_flight);
+    return result;
+}
+
+isolation_reply from_wire(const wire::isolation_reply& value)
+{
+    return {value.granted, to_unsigned(value.in_flight)};
+}
+
+} // namespace siskinwharf::peer
