--- a/Tests/standins/common/json.cpp
+++ b/Tests/standins/common/json.cpp
@@ -86,6 +86,28 @@
     return member->as_array();
 }
 
+std::vector<std::string> strings_member(const json::object& object, std::string_view name)
+{
+    std::vector<std::string> strings;
+    for (const json::value& item : array_member(object, name)) {
+        if (!item.is_string())
+            throw_wrong_type(name, "an array of strings");
+        strings.emplace_back(item.as_string());
+    }
+    return strings;
+}
+
+std::vector<json::object> objects_member(const json::object& object, std::string_view name)
+{
+    std::vector<json::object> objects;
+    for (const json::value& item : array_member(object, name)) {
+        if (!item.is_object())
+            throw_wrong_type(name, "an array of objects");
+        objects.push_back(item.as_object());
+    }
+    return objects;
+}
+
 json::object object_member(const json::object& object, std::string_view name)
 {
     const json::value* member = find_member(object, name);
--- a/Tests/standins/common/json.h
+++ b/Tests/standins/common/json.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/json.hpp>
 
@@ -23,6 +24,11 @@
 [[nodiscard]] bool boolean_member(const boost::json::object& object, std::string_view name,
                                   bool otherwise = false);
 [[nodiscard]] boost::json::array array_member(const boost::json::object& object, std::string_view name);
+[[nodiscard]] std::vector<std::string> strings_member(const boost::json::object& object,
+                                                      std::string_view name);
+/// The objects of an array.
+[[nodiscard]] std::vector<boost::json::object> objects_member(const boost::json::object& object,
+                                                              std::string_view name);
 [[nodiscard]] boost::json::object object_member(const boost::json::object& object, std::string_view name);
 
 [[nodiscard]] http_response json_response(unsigned status, const boost::json::value& body);
--- a/Tests/standins/engine/engine.cpp
+++ b/Tests/standins/engine/engine.cpp
@@ -33,23 +33,12 @@
     stream.context.insert(stream.context.end(), stream.answer.begin(), stream.answer.end());
 }
 
-std::vector<std::string> read_tokens(const json::object& object, std::string_view name)
-{
-    std::vector<std::string> tokens;
-    for (const json::value& token : array_member(object, name)) {
-        if (!token.is_string())
-            throw bad_request("member " + std::string(name) + " has an item that is not a string");
-        tokens.emplace_back(token.as_string());
-    }
-    return tokens;
-}
-
 void read_stream(const json::object& body, engine_stream& stream)
 {
     stream.model = string_member(body, "model");
     stream.version = string_member(body, "version");
     stream.prompt = string_member(body, "prompt");
-    stream.answer = read_tokens(body, "produced");
+    stream.answer = strings_member(body, "produced");
     stream.first_offset = stream.answer.size();
     const std::int64_t max_tokens = integer_member(body, "max_tokens", 16);
     if (max_tokens < 0 || max_tokens > max_stream_tokens)
--- a/Tests/standins/engine/model_orders.cpp
+++ b/Tests/standins/engine/model_orders.cpp
@@ -23,17 +23,11 @@
     const json::object wanted = object_member(order, "wanted");
     std::vector<loaded_model> models;
     monotonic_time loader_free = std::max(m_loader_free, now);
-    for (const json::value& item : array_member(wanted, "models")) {
-        if (!item.is_object())
-            throw bad_request("member models has an item that is not an object");
+    for (const json::object& item : objects_member(wanted, "models")) {
         loaded_model next;
-        next.model = string_member(item.as_object(), "model");
-        next.version = string_member(item.as_object(), "version");
-        for (const json::value& adapter : array_member(item.as_object(), "adapters")) {
-            if (!adapter.is_string())
-                throw bad_request("member adapters has an item that is not a string");
-            next.adapters.emplace_back(adapter.as_string());
-        }
+        next.model = string_member(item, "model");
+        next.version = string_member(item, "version");
+        next.adapters = strings_member(item, "adapters");
         std::sort(next.adapters.begin(), next.adapters.end());
         const auto same = std::find_if(m_models.begin(), m_models.end(), [&next](const auto& present) {
             return present.model == next.model && present.version == next.version;
