Services: Serve chat completions from caller to engine and back

The entry process accepts a request once an engine has confirmed its stream, follows the stream, resumes it after a broken connection and continues elsewhere from the tokens produced.

--- a/Libraries/http/include/siskinwharf/http/error.h
+++ b/Libraries/http/include/siskinwharf/http/error.h
@@ -15,12 +15,18 @@
 /// A call to another process failed.
 class call_error : public std::runtime_error {
 public:
-    call_error(call_stage stage, const std::string& message) : std::runtime_error(message), m_stage(stage) {}
+    call_error(call_stage stage, const std::string& message, bool timed_out = false)
+        : std::runtime_error(message), m_stage(stage), m_timed_out(timed_out)
+    {
+    }
 
     [[nodiscard]] call_stage stage() const { return m_stage; }
+    /// The other side did not answer in time; it may be frozen rather than dead.
+    [[nodiscard]] bool timed_out() const { return m_timed_out; }
 
 private:
     call_stage m_stage;
+    bool m_timed_out;
 };
 
 /// A caller's connection ended while a response was being written to it.
--- a/Libraries/http/src/client.cpp
+++ b/Libraries/http/src/client.cpp
@@ -36,11 +36,13 @@
     used.stream.expires_after(timeout);
     if (const auto [error, size] = co_await beast::http::async_write(used.stream, message, use_tuple); error)
         // A failed write may still have sent part of the request.
-        throw call_error(call_stage::after_send, "send failed: " + error.message());
+        throw call_error(call_stage::after_send, "send failed: " + error.message(),
+                         error == beast::error::timeout);
     if (const auto [error, size] =
             co_await beast::http::async_read_header(used.stream, used.buffer, parser, use_tuple);
         error)
-        throw call_error(call_stage::after_send, "no response: " + error.message());
+        throw call_error(call_stage::after_send, "no response: " + error.message(),
+                         error == beast::error::timeout);
 }
 
 class pooled_line_stream final : public line_stream {
@@ -95,7 +97,8 @@
         if (error == beast::http::error::need_buffer)
             error = {};
         if (error)
-            throw call_error(call_stage::after_header, "stream failed: " + error.message());
+            throw call_error(call_stage::after_header, "stream failed: " + error.message(),
+                             error == beast::error::timeout);
         m_pending.append(m_block.data(), m_block.size() - body.size);
     }
 
@@ -148,7 +151,8 @@
         if (const auto [error, size] =
                 co_await beast::http::async_read(used->stream, used->buffer, parser, use_tuple);
             error)
-            throw call_error(call_stage::after_header, "response ended early: " + error.message());
+            throw call_error(call_stage::after_header, "response ended early: " + error.message(),
+                             error == beast::error::timeout);
         response result;
         result.status = static_cast<int>(parser.get().result_int());
         for (const auto& field : parser.get())
--- a/Libraries/http/src/connection_pool.cpp
+++ b/Libraries/http/src/connection_pool.cpp
@@ -49,7 +49,8 @@
         throw call_error(call_stage::before_send, "invalid address " + target.ip);
     const tcp::endpoint endpoint(ip, target.port);
     if (const auto [error] = co_await fresh->stream.async_connect(endpoint, use_tuple); error)
-        throw call_error(call_stage::before_send, "connect failed: " + error.message());
+        throw call_error(call_stage::before_send, "connect failed: " + error.message(),
+                         error == beast::error::timeout);
     boost::system::error_code ignored;
     fresh->stream.socket().set_option(tcp::no_delay(true), ignored);
     co_return fresh;
--- a/Libraries/serving/include/siskinwharf/serving/next_step.h
+++ b/Libraries/serving/include/siskinwharf/serving/next_step.h
@@ -10,15 +10,17 @@
 
 /// How an attempt at an endpoint ended.
 enum class attempt_end {
-    completed,       ///< The whole answer arrived.
-    refused_leaving, ///< The endpoint takes no new work because it is leaving.
-    refused_full,    ///< The endpoint has no free slot.
-    refused_model,   ///< The endpoint does not serve the model.
-    unreachable,     ///< No connection; nothing was sent.
-    connection_lost, ///< The connection broke or stalled after the request was sent.
-    endpoint_lost,   ///< The endpoint does not know the stream any more or cannot be reached to resume it.
-    move_requested,  ///< The endpoint is being reclaimed and the reclaim plan moves the stream.
-    rejected,        ///< The endpoint says that the request itself is wrong.
+    completed,        ///< The whole answer arrived.
+    refused_leaving,  ///< The endpoint takes no new work because it is leaving.
+    refused_full,     ///< The endpoint has no free slot.
+    refused_model,    ///< The endpoint does not serve the model.
+    unreachable,      ///< No connection; nothing was sent.
+    connection_lost,  ///< The connection broke or stalled after the request was sent.
+    endpoint_lost,    ///< The endpoint died: it refuses connections, or restarted without the stream.
+    endpoint_stalled, ///< The endpoint does not answer; it may be frozen or cut off rather than dead.
+    stream_missing,   ///< The endpoint never received the request.
+    move_requested,   ///< The endpoint is being reclaimed and the reclaim plan moves the stream.
+    rejected,         ///< The endpoint says that the request itself is wrong.
 };
 
 /// What has been tried for a request so far.
--- a/Libraries/serving/src/next_step.cpp
+++ b/Libraries/serving/src/next_step.cpp
@@ -19,7 +19,14 @@
     case attempt_end::refused_full:
         // The slot count was out of date; another request may have freed one by the next round.
         return continue_elsewhere{.needs_retry_budget = true, .count_crash = false, .exclude_endpoint = true};
+    case attempt_end::stream_missing:
+        return continue_elsewhere{
+            .needs_retry_budget = false, .count_crash = false, .exclude_endpoint = false};
     case attempt_end::connection_lost:
+    case attempt_end::endpoint_stalled:
+        // A frozen endpoint is no sign that the request crashes endpoints.
+        return continue_elsewhere{
+            .needs_retry_budget = !history.accepted, .count_crash = false, .exclude_endpoint = true};
     case attempt_end::endpoint_lost:
         // The budget does not apply after acceptance: the promise to the caller outweighs the load of one
         // retry.
--- /dev/null
+++ b/Services/siskinwharfd/src/caller_api.cpp
@@ -0,0 +1,304 @@
+#include "caller_api.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include "request_refused.h"
+#include "siskinwharf/base/event_log.h"
+#include "siskinwharf/serving/chat_request.h"
+#include "siskinwharf/serving/chat_response.h"
+
+namespace siskinwharf::entry {
+
+namespace asio = boost::asio;
+using http::refusal_type;
+
+namespace {
+
+/// Deadline of a request whose caller names none.
+constexpr milliseconds default_deadline{120'000};
+constexpr milliseconds longest_deadline{600'000};
+constexpr std::size_t longest_request_id = 64;
+
+std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+bool is_request_id(std::string_view text)
+{
+    return !text.empty() && text.size() <= longest_request_id &&
+           std::ranges::all_of(text, [](char character) {
+               return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') ||
+                      (character >= '0' && character <= '9') || character == '-' || character == '_' ||
+                      character == '.';
+           });
+}
+
+milliseconds deadline_of(const http::request& message)
+{
+    const auto header = message.find_header("Siskinwharf-Deadline-Ms");
+    if (!header)
+        return default_deadline;
+    const auto value = parse_number(*header);
+    if (!value || *value == 0 || milliseconds(*value) > longest_deadline)
+        throw request_refused(
+            {refusal_type::malformed, "header Siskinwharf-Deadline-Ms must be from 1 to 600000"});
+    return milliseconds(*value);
+}
+
+std::vector<http::header_field> stream_headers(const request_id& id)
+{
+    return {{"Content-Type", "text/event-stream"},
+            {"Cache-Control", "no-cache"},
+            {"Siskinwharf-Request-Id", id.value()}};
+}
+
+/// Counts a caller that reads an answer.
+class reader_guard {
+public:
+    explicit reader_guard(live_request& request) : m_request(request) { ++m_request.readers; }
+    reader_guard(const reader_guard&) = delete;
+    reader_guard& operator=(const reader_guard&) = delete;
+    reader_guard(reader_guard&&) = delete;
+    reader_guard& operator=(reader_guard&&) = delete;
+    ~reader_guard()
+    {
+        if (--m_request.readers == 0)
+            m_request.abandoned_at = now();
+    }
+
+private:
+    live_request& m_request;
+};
+
+} // namespace
+
+caller_api::caller_api(entry_core& core, worker& own, const std::vector<std::unique_ptr<worker>>& workers)
+    : m_core(core), m_worker(own), m_workers(workers)
+{
+}
+
+asio::awaitable<void> caller_api::handle(http::request message, http::response_writer& writer)
+{
+    std::optional<http::refusal> reason;
+    try {
+        co_await dispatch(std::move(message), writer);
+    } catch (const request_refused& refused) {
+        reason = refused.reason();
+    }
+    if (!reason)
+        co_return;
+    log_event(event::request_refused, {{"type", std::string(http::to_string(reason->type))},
+                                       {"outcome", std::string(to_string(reason->result))},
+                                       {"message", reason->message}});
+    co_await writer.send(http::to_response(*reason));
+}
+
+asio::awaitable<void> caller_api::dispatch(http::request message, http::response_writer& writer)
+{
+    if (message.path == "/readyz") {
+        const bool ready = !m_core.stopping && m_core.sheets.is_ready(now());
+        co_await writer.send(
+            http::json_response(ready ? 200 : 503, ready ? R"({"ready":true})" : R"({"ready":false})"));
+        co_return;
+    }
+    if (message.path == "/v1/chat/completions") {
+        if (message.method != "POST")
+            throw request_refused({refusal_type::method_not_allowed, "use POST"});
+        co_await create_completion(std::move(message), writer);
+        co_return;
+    }
+    if (message.path.starts_with("/v1/requests/")) {
+        co_await resume_answer(std::move(message), writer);
+        co_return;
+    }
+    if (message.path == "/v1/models") {
+        co_await list_models(std::move(message), writer);
+        co_return;
+    }
+    throw request_refused({refusal_type::not_found, "no such path"});
+}
+
+std::shared_ptr<const sheet_view> caller_api::require_sheet()
+{
+    auto sheet = m_worker.current_sheet();
+    if (!sheet || !m_core.sheets.is_ready(now()))
+        throw request_refused(
+            {refusal_type::not_ready, "no sheet is in force yet", outcome::not_run, seconds(1)});
+    return sheet;
+}
+
+const sheet::account_entry& caller_api::authenticate(const sheet_view& sheet,
+                                                     const http::request& message) const
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const auto header = message.find_header("Authorization");
+    if (!header || !header->starts_with(scheme))
+        throw request_refused(
+            {refusal_type::unauthorized, "header Authorization: Bearer <API key> is missing"});
+    const auto* account = sheet.find_account(header->substr(scheme.size()));
+    if (account == nullptr)
+        throw request_refused({refusal_type::unauthorized, "the API key is not known"});
+    return *account;
+}
+
+request_spec caller_api::admit(const sheet_view& sheet, const http::request& message)
+{
+    const auto& account = authenticate(sheet, message);
+    request_spec spec;
+    try {
+        auto chat = serving::parse_chat_request(message.body);
+        spec.model = std::move(chat.model);
+        spec.prompt = std::move(chat.prompt);
+        spec.max_tokens = chat.max_tokens;
+        spec.streaming = chat.streaming;
+    } catch (const serving::chat_request_error& error) {
+        throw request_refused({refusal_type::malformed, error.what()});
+    }
+    const auto* grant = sheet.find_grant(account.account, spec.model.value());
+    const auto* model = sheet.find_model(spec.model);
+    if (grant == nullptr || model == nullptr)
+        throw request_refused({refusal_type::forbidden, "the account may not use this model"});
+    if (std::ranges::find(grant->regions, m_core.settings.region) == grant->regions.end())
+        throw request_refused({refusal_type::forbidden, "the account may not use this model in this region"});
+    spec.account = account.account;
+    spec.version = model->version;
+    spec.received = now();
+    spec.deadline = spec.received + deadline_of(message);
+    spec.first_token_target = grant->first_token;
+    if (const auto id = message.find_header("Siskinwharf-Request-Id")) {
+        if (!is_request_id(*id))
+            throw request_refused({refusal_type::malformed,
+                                   "header Siskinwharf-Request-Id must be 1 to 64 of A-Z a-z 0-9 - _ ."});
+        spec.id = request_id(std::string(*id));
+    } else {
+        spec.id = request_id(
+            fmt::format("{}-{:x}", m_core.settings.instance.value(), m_core.next_number.fetch_add(1)));
+    }
+    return spec;
+}
+
+asio::awaitable<void> caller_api::create_completion(http::request message, http::response_writer& writer)
+{
+    if (m_core.stopping)
+        throw request_refused(
+            {refusal_type::stopping, "this entry process is stopping", outcome::not_run, seconds(1)});
+    const auto sheet = require_sheet();
+    auto spec = admit(*sheet, message);
+    const bool streaming = spec.streaming;
+    auto request = m_worker.submit(std::move(spec));
+    const reader_guard reader(*request);
+    while (request->current_phase() == live_request::phase::waiting)
+        co_await request->wait_for_change();
+    if (request->current_phase() == live_request::phase::failed && request->tokens().empty())
+        throw request_refused(*request->failure());
+    log_event(event::request_accepted,
+              {{"request", request->spec().id.value()}, {"account", request->spec().account.value()}});
+    if (streaming)
+        co_await stream_answer(std::move(request), writer);
+    else
+        co_await send_whole_answer(std::move(request), writer);
+}
+
+asio::awaitable<void> caller_api::stream_answer(std::shared_ptr<live_request> request,
+                                                http::response_writer& writer)
+{
+    co_await writer.begin(200, stream_headers(request->spec().id));
+    std::uint64_t delivered = 0;
+    while (true) {
+        if (request->tokens().size() > delivered) {
+            const auto tokens = std::span(request->tokens()).subspan(delivered);
+            auto events = serving::render_events(request->identity(), tokens, delivered);
+            delivered = request->tokens().size();
+            co_await writer.write(std::move(events));
+            continue;
+        }
+        if (request->ended())
+            break;
+        co_await request->wait_for_change();
+    }
+    if (request->failure())
+        co_await writer.write(serving::render_error_event(*request->failure()));
+    else
+        co_await writer.write(serving::render_end_events(request->identity()));
+    co_await writer.finish();
+    log_event(event::request_finished,
+              {{"request", request->spec().id.value()}, {"tokens", std::to_string(delivered)}});
+}
+
+asio::awaitable<void> caller_api::send_whole_answer(std::shared_ptr<live_request> request,
+                                                    http::response_writer& writer)
+{
+    while (!request->ended())
+        co_await request->wait_for_change();
+    if (request->failure())
+        throw request_refused(*request->failure());
+    auto answer =
+        http::json_response(200, serving::render_completion(request->identity(), request->tokens(),
+                                                            serving::count_tokens(request->spec().prompt)));
+    answer.headers.push_back({"Siskinwharf-Request-Id", request->spec().id.value()});
+    co_await writer.send(std::move(answer));
+}
+
+asio::awaitable<void> caller_api::resume_answer(http::request message, http::response_writer& writer)
+{
+    if (message.method != "GET")
+        throw request_refused({refusal_type::method_not_allowed, "use GET"});
+    const auto sheet = require_sheet();
+    const auto& account = authenticate(*sheet, message);
+    const request_id id(message.path.substr(std::string_view("/v1/requests/").size()));
+    const auto offset_text = message.find_parameter("offset").value_or("0");
+    const auto offset = parse_number(offset_text);
+    if (!offset || !is_request_id(id.value()))
+        throw request_refused({refusal_type::malformed, "the path must be /v1/requests/<id>?offset=<n>"});
+    for (const auto& owner : m_workers) {
+        auto part = co_await worker::read_answer(*owner, account.account, id, *offset);
+        if (!part)
+            continue;
+        co_await writer.begin(200, stream_headers(id));
+        auto delivered = *offset;
+        while (true) {
+            auto events = serving::render_events(part->identity, part->tokens, delivered);
+            delivered += part->tokens.size();
+            co_await writer.write(std::move(events));
+            if (part->tokens.empty())
+                break;
+            part = co_await worker::read_answer(*owner, account.account, id, delivered);
+            if (!part)
+                break;
+        }
+        if (!part || part->failure) {
+            const http::refusal lost{refusal_type::internal, "the record of the request was lost",
+                                     outcome::unknown};
+            co_await writer.write(serving::render_error_event(part ? *part->failure : lost));
+        } else {
+            co_await writer.write(serving::render_end_events(part->identity));
+        }
+        co_await writer.finish();
+        co_return;
+    }
+    throw request_refused({refusal_type::not_found, "no such request here", outcome::unknown});
+}
+
+asio::awaitable<void> caller_api::list_models(http::request message, http::response_writer& writer)
+{
+    const auto sheet = require_sheet();
+    const auto& account = authenticate(*sheet, message);
+    boost::json::array models;
+    for (const auto& model : sheet->value().models) {
+        if (sheet->find_grant(account.account, model.model.value()) != nullptr)
+            models.push_back({{"id", model.model.value()}, {"object", "model"}, {"owned_by", "siskinwharf"}});
+    }
+    const boost::json::object body{{"object", "list"}, {"data", std::move(models)}};
+    co_await writer.send(http::json_response(200, boost::json::serialize(body)));
+}
+
+} // namespace siskinwharf::entry
--- /dev/null
+++ b/Services/siskinwharfd/src/caller_api.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "entry_core.h"
+#include "siskinwharf/http/server.h"
+#include "worker.h"
+
+namespace siskinwharf::entry {
+
+/// The HTTP interface towards callers, on one worker.
+class caller_api {
+public:
+    /// `workers` holds all workers of the process, for requests that another one runs.
+    caller_api(entry_core& core, worker& own, const std::vector<std::unique_ptr<worker>>& workers);
+
+    /// Answers one request. Throws `http::caller_disconnected`.
+    boost::asio::awaitable<void> handle(http::request message, http::response_writer& writer);
+
+private:
+    boost::asio::awaitable<void> dispatch(http::request message, http::response_writer& writer);
+    boost::asio::awaitable<void> create_completion(http::request message, http::response_writer& writer);
+    boost::asio::awaitable<void> resume_answer(http::request message, http::response_writer& writer);
+    boost::asio::awaitable<void> list_models(http::request message, http::response_writer& writer);
+    boost::asio::awaitable<void> stream_answer(std::shared_ptr<live_request> request,
+                                               http::response_writer& writer);
+    boost::asio::awaitable<void> send_whole_answer(std::shared_ptr<live_request> request,
+                                                   http::response_writer& writer);
+
+    /// The account of the API key. Throws `request_refused`.
+    [[nodiscard]] const sheet::account_entry& authenticate(const sheet_view& sheet,
+                                                           const http::request& message) const;
+    /// Checks a chat request against the sheet. Throws `request_refused`.
+    [[nodiscard]] request_spec admit(const sheet_view& sheet, const http::request& message);
+    /// The sheet in force. Throws `request_refused` while the process is not ready.
+    [[nodiscard]] std::shared_ptr<const sheet_view> require_sheet();
+
+    entry_core& m_core;
+    worker& m_worker;
+    const std::vector<std::unique_ptr<worker>>& m_workers;
+};
+
+} // namespace siskinwharf::entry
--- /dev/null
+++ b/Services/siskinwharfd/src/entry_core.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+
+#include "siskinwharf/base/time.h"
+#include "siskinwharf/routing/router.h"
+#include "siskinwharf/routing/routing_table.h"
+#include "siskinwharf/settings/settings.h"
+#include "siskinwharf/sheet/sheet_register.h"
+
+namespace siskinwharf::entry {
+
+/// Why an endpoint gets no new work.
+enum class endpoint_report {
+    leaving, ///< It said so itself.
+    dead,    ///< It died without notice.
+};
+
+/// What the threads of an entry process share. The members are safe for concurrent use.
+struct entry_core {
+    entry_core(settings::settings configured, const routing::routing_options& options, monotonic_time started)
+        : settings(std::move(configured)), table(), router(table, options), sheets(started)
+    {
+    }
+
+    const settings::settings settings;
+    routing::routing_table table;
+    routing::router router;
+    sheet::sheet_register sheets;
+    /// A planned stop began: readiness fails and no new request is taken.
+    std::atomic<bool> stopping{false};
+    /// Reports what a request found out about an endpoint to the control thread.
+    std::function<void(const endpoint_id&, endpoint_report)> report_endpoint;
+    /// Numbers attempts and requests of this process.
+    std::atomic<std::uint64_t> next_number{1};
+};
+
+[[nodiscard]] inline monotonic_time now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace siskinwharf::entry
--- /dev/null
+++ b/Services/siskinwharfd/src/live_request.cpp
@@ -0,0 +1,79 @@
+#include "live_request.h"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace siskinwharf::entry {
+
+namespace asio = boost::asio;
+
+live_request::live_request(const asio::any_io_executor& executor, request_spec spec)
+    : m_spec(std::move(spec)),
+      m_identity{m_spec.id.value(), m_spec.model.value(),
+                 std::chrono::duration_cast<std::chrono::seconds>(
+                     std::chrono::system_clock::now().time_since_epoch())
+                     .count()},
+      m_changed(executor, asio::steady_timer::time_point::max())
+{
+    abandoned_at = m_spec.received;
+}
+
+void live_request::accept()
+{
+    if (m_phase != phase::waiting)
+        return;
+    m_phase = phase::accepted;
+    notify();
+}
+
+void live_request::finish()
+{
+    m_phase = phase::finished;
+    notify();
+}
+
+void live_request::fail(http::refusal reason)
+{
+    m_phase = phase::failed;
+    m_failure = std::move(reason);
+    notify();
+}
+
+void live_request::notify()
+{
+    m_changed.cancel();
+}
+
+asio::awaitable<void> live_request::wait_for_change()
+{
+    co_await m_changed.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+void live_request::attach(std::shared_ptr<const routing::endpoint_info> endpoint, http::line_stream* stream)
+{
+    m_endpoint = std::move(endpoint);
+    m_stream = stream;
+}
+
+void live_request::detach()
+{
+    m_endpoint.reset();
+    m_stream = nullptr;
+}
+
+void live_request::request_move(move_request move)
+{
+    m_move = std::move(move);
+    if (m_stream != nullptr)
+        m_stream->cancel();
+}
+
+std::optional<move_request> live_request::take_move()
+{
+    return std::exchange(m_move, std::nullopt);
+}
+
+} // namespace siskinwharf::entry
--- /dev/null
+++ b/Services/siskinwharfd/src/live_request.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "siskinwharf/base/identifier.h"
+#include "siskinwharf/base/time.h"
+#include "siskinwharf/http/client.h"
+#include "siskinwharf/http/refusal.h"
+#include "siskinwharf/routing/endpoint_info.h"
+#include "siskinwharf/serving/chat_response.h"
+#include "siskinwharf/serving/stream_assembler.h"
+
+namespace siskinwharf::entry {
+
+/// What a caller asked for, as it was admitted.
+struct request_spec {
+    request_id id;
+    account_id account;
+    model_id model;
+    std::string version;
+    std::string prompt;
+    std::uint32_t max_tokens = 0;
+    bool streaming = false;
+    monotonic_time received;
+    monotonic_time deadline;
+    milliseconds first_token_target{0};
+};
+
+/// Tells the runner to leave an endpoint that is being reclaimed.
+struct move_request {
+    /// Endpoint that imports the KV cache; empty to continue elsewhere from the tokens.
+    endpoint_id import_target;
+};
+
+/// One model request in progress: its record, its answer so far, and the callers that wait for it. Confined
+/// to the thread of its worker.
+class live_request {
+public:
+    enum class phase { waiting, accepted, finished, failed };
+
+    live_request(const boost::asio::any_io_executor& executor, request_spec spec);
+
+    [[nodiscard]] const request_spec& spec() const { return m_spec; }
+    [[nodiscard]] const serving::answer_identity& identity() const { return m_identity; }
+    [[nodiscard]] serving::stream_assembler& assembler() { return m_assembler; }
+    [[nodiscard]] const std::vector<std::string>& tokens() const { return m_assembler.tokens(); }
+
+    [[nodiscard]] phase current_phase() const { return m_phase; }
+    [[nodiscard]] bool ended() const { return m_phase == phase::finished || m_phase == phase::failed; }
+    /// Set in phase `failed`.
+    [[nodiscard]] const std::optional<http::refusal>& failure() const { return m_failure; }
+
+    void accept();
+    void finish();
+    void fail(http::refusal reason);
+    /// Wakes everybody who waits for a change.
+    void notify();
+    /// Returns after the next change.
+    boost::asio::awaitable<void> wait_for_change();
+
+    /// Endpoint that runs the request and the open stream, while there is one.
+    void attach(std::shared_ptr<const routing::endpoint_info> endpoint, http::line_stream* stream);
+    void detach();
+    [[nodiscard]] const std::shared_ptr<const routing::endpoint_info>& endpoint() const { return m_endpoint; }
+    /// Asks the runner to move the request; ends the read of its stream.
+    void request_move(move_request move);
+    [[nodiscard]] std::optional<move_request> take_move();
+    [[nodiscard]] bool has_move() const { return m_move.has_value(); }
+
+    /// Callers that are reading the answer now.
+    std::uint32_t readers = 0;
+    /// When the last reader went away.
+    monotonic_time abandoned_at{};
+    /// When the request ended.
+    monotonic_time ended_at{};
+    /// Last move of the reclaim plan, to plan each request once for each endpoint.
+    endpoint_id planned_for;
+
+private:
+    request_spec m_spec;
+    serving::answer_identity m_identity;
+    serving::stream_assembler m_assembler;
+    phase m_phase = phase::waiting;
+    std::optional<http::refusal> m_failure;
+    boost::asio::steady_timer m_changed;
+    std::shared_ptr<const routing::endpoint_info> m_endpoint;
+    http::line_stream* m_stream = nullptr;
+    std::optional<move_request> m_move;
+};
+
+} // namespace siskinwharf::entry
--- /dev/null
+++ b/Services/siskinwharfd/src/model_runner.cpp
@@ -0,0 +1,430 @@
+#include "model_runner.h"
+
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include "request_refused.h"
+#include "siskinwharf/base/event_log.h"
+#include "siskinwharf/serving/chat_request.h"
+#include "siskinwharf/serving/token_line.h"
+
+namespace siskinwharf::entry {
+
+namespace asio = boost::asio;
+using serving::attempt_end;
+
+namespace {
+
+/// An endpoint that does not confirm a stream in this time is frozen or cut off.
+constexpr milliseconds header_timeout{2'000};
+/// Longest silence of a stream. Prefill of the longest prompts takes seconds; decode steps take milliseconds.
+constexpr milliseconds first_token_silence{10'000};
+constexpr milliseconds token_silence{3'000};
+constexpr milliseconds export_timeout{5'000};
+/// Pause before a request that found every endpoint full looks again.
+constexpr milliseconds slot_poll_period{10};
+/// How long a request waits for a free slot or a first endpoint before it is refused.
+constexpr milliseconds longest_wait_for_slot{1'500};
+/// Callers come back to resume within seconds; after that, generating on would only cost.
+constexpr milliseconds abandon_grace{20'000};
+
+asio::awaitable<void> pause_for(milliseconds duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+std::string stream_id_of(const request_spec& spec)
+{
+    // The account is part of the id, so that one account cannot resume the stream of another.
+    return spec.account.value() + ":" + spec.id.value();
+}
+
+http::address address_of(const routing::endpoint_info& endpoint)
+{
+    return {endpoint.address, endpoint.port};
+}
+
+http::request get_request(std::string method, std::string path, std::string query, std::string body)
+{
+    http::request message{std::move(method), std::move(path), std::move(query), {}, std::move(body)};
+    if (!message.body.empty())
+        message.headers.push_back({"Content-Type", "application/json"});
+    return message;
+}
+
+std::string error_of(const std::string& lines)
+{
+    boost::system::error_code error;
+    const auto document = boost::json::parse(lines, error);
+    if (error || !document.is_object())
+        return {};
+    const auto* text = document.get_object().if_contains("error");
+    return text != nullptr && text->is_string() ? std::string(text->get_string()) : std::string{};
+}
+
+/// Maps the status of a refused stream to the end of the attempt.
+attempt_end end_of_refusal(int status, const std::string& error)
+{
+    if (status == 409 && error == "leaving")
+        return attempt_end::refused_leaving;
+    if (status == 404)
+        return attempt_end::refused_model;
+    if (status == 429 || status == 503)
+        return attempt_end::refused_full;
+    if (status >= 400 && status < 500)
+        return attempt_end::rejected;
+    return attempt_end::refused_full;
+}
+
+std::string_view to_text(attempt_end end)
+{
+    switch (end) {
+    case attempt_end::completed:
+        return "completed";
+    case attempt_end::refused_leaving:
+        return "refused_leaving";
+    case attempt_end::refused_full:
+        return "refused_full";
+    case attempt_end::refused_model:
+        return "refused_model";
+    case attempt_end::unreachable:
+        return "unreachable";
+    case attempt_end::connection_lost:
+        return "connection_lost";
+    case attempt_end::endpoint_lost:
+        return "endpoint_lost";
+    case attempt_end::endpoint_stalled:
+        return "endpoint_stalled";
+    case attempt_end::stream_missing:
+        return "stream_missing";
+    case attempt_end::move_requested:
+        return "move_requested";
+    case attempt_end::rejected:
+        return "rejected";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+model_runner::model_runner(entry_core& core, http::client& client, std::shared_ptr<live_request> request)
+    : m_core(core),
+      m_client(client),
+      m_request(std::move(request)),
+      m_prefix_hashes(serving::prefix_hashes(m_request->spec().prompt,
+                                             routing::routing_options{}.prompt_tokens_per_block)),
+      m_prompt_tokens(serving::count_tokens(m_request->spec().prompt))
+{
+    m_history.deadline = m_request->spec().deadline;
+}
+
+asio::awaitable<void> model_runner::run()
+{
+    try {
+        co_await run_attempts();
+    } catch (const request_refused& refused) {
+        m_request->fail(refused.reason());
+    } catch (const std::exception& error) {
+        m_request->fail({http::refusal_type::internal, error.what(), outcome::unknown});
+    }
+    m_request->ended_at = now();
+}
+
+asio::awaitable<void> model_runner::run_attempts()
+{
+    while (true) {
+        auto chosen = co_await acquire();
+        const auto endpoint = chosen.endpoint;
+        ++m_history.attempts;
+        auto end = endpoint->id == m_import_target ? co_await import_attempt(chosen, std::move(m_exported_kv))
+                                                   : co_await run_attempt(chosen);
+        m_import_target = {};
+        auto step = serving::decide_next_step(end, m_history, now());
+        while (const auto* resume = std::get_if<serving::resume_stream>(&step)) {
+            ++m_history.resumes_without_progress;
+            co_await pause_for(resume->pause);
+            end = co_await resume_attempt(chosen);
+            step = serving::decide_next_step(end, m_history, now());
+        }
+        chosen.guard.release(now());
+        if (std::holds_alternative<serving::deliver_end>(step)) {
+            m_request->finish();
+            co_return;
+        }
+        if (const auto* reason = std::get_if<serving::give_up_reason>(&step)) {
+            co_await cancel_at(endpoint);
+            throw request_refused(failure_for(*reason));
+        }
+        apply(std::get<serving::continue_elsewhere>(step), *endpoint, end);
+        if (end == attempt_end::move_requested)
+            co_await prepare_move();
+        m_request->detach();
+    }
+}
+
+asio::awaitable<routing::chosen_endpoint> model_runner::acquire()
+{
+    const auto give_up_at = now() + longest_wait_for_slot;
+    while (true) {
+        if (!m_import_target.empty()) {
+            const auto info = m_core.table.find_info(m_import_target);
+            const auto load = m_core.table.find_load(m_import_target);
+            if (info && load && load->try_begin(now(), info->capacity, 0, m_request->spec().max_tokens))
+                co_return routing::chosen_endpoint{
+                    info, routing::in_flight_guard(load, 0, m_request->spec().max_tokens), 0, nanoseconds(0)};
+            m_import_target = {};
+        }
+        auto decision = m_core.router.choose(make_routing_request(), now());
+        if (auto* chosen = std::get_if<routing::chosen_endpoint>(&decision))
+            co_return std::move(*chosen);
+        const auto reason = std::get<routing::no_endpoint>(decision);
+        if (reason == routing::no_endpoint::no_endpoint_for_target && !m_excluded.empty())
+            m_excluded.clear();
+        const bool waits = m_history.accepted || reason == routing::no_endpoint::all_full;
+        const auto limit = m_history.accepted ? m_history.deadline : give_up_at;
+        if (!waits || now() >= limit)
+            throw request_refused(refusal_for(reason));
+        co_await pause_for(slot_poll_period);
+    }
+}
+
+asio::awaitable<attempt_end> model_runner::run_attempt(routing::chosen_endpoint& chosen)
+{
+    const auto& spec = m_request->spec();
+    serving::stream_order order;
+    order.stream_id = stream_id_of(spec);
+    order.attempt = m_request->assembler().begin_attempt();
+    order.model = spec.model.value();
+    order.version = spec.version;
+    order.prompt = spec.prompt;
+    order.max_tokens = spec.max_tokens;
+    auto message =
+        get_request("POST", "/streams", "", serving::render_stream_order(order, m_request->tokens()));
+    m_request->attach(chosen.endpoint, nullptr);
+    std::unique_ptr<http::line_stream> stream;
+    try {
+        stream = co_await m_client.open(address_of(*chosen.endpoint), std::move(message), header_timeout);
+    } catch (const http::call_error& error) {
+        if (error.stage() == http::call_stage::before_send)
+            co_return attempt_end::unreachable;
+        co_return error.timed_out() ? attempt_end::endpoint_stalled : attempt_end::connection_lost;
+    }
+    co_return co_await follow(chosen, *stream);
+}
+
+asio::awaitable<attempt_end> model_runner::resume_attempt(routing::chosen_endpoint& chosen)
+{
+    const auto path = "/streams/" + http::percent_encode(stream_id_of(m_request->spec()));
+    auto message = get_request("GET", path, "offset=" + std::to_string(m_request->tokens().size()), "");
+    std::unique_ptr<http::line_stream> stream;
+    try {
+        stream = co_await m_client.open(address_of(*chosen.endpoint), std::move(message), header_timeout);
+    } catch (const http::call_error& error) {
+        co_return error.timed_out() ? attempt_end::endpoint_stalled : attempt_end::endpoint_lost;
+    }
+    if (stream->status() == 404)
+        co_return m_history.accepted ? attempt_end::endpoint_lost : attempt_end::stream_missing;
+    const auto before = m_request->tokens().size();
+    const auto end = co_await follow(chosen, *stream);
+    if (m_request->tokens().size() > before)
+        m_history.resumes_without_progress = 0;
+    co_return end;
+}
+
+asio::awaitable<attempt_end> model_runner::import_attempt(routing::chosen_endpoint& chosen, std::string kv)
+{
+    boost::json::object body;
+    body["stream_id"] = stream_id_of(m_request->spec());
+    body["attempt"] = m_request->assembler().begin_attempt();
+    body["kv"] = std::move(kv);
+    auto message = get_request("POST", "/streams/import", "", boost::json::serialize(body));
+    m_request->attach(chosen.endpoint, nullptr);
+    std::unique_ptr<http::line_stream> stream;
+    try {
+        stream = co_await m_client.open(address_of(*chosen.endpoint), std::move(message), header_timeout);
+    } catch (const http::call_error&) {
+        co_return attempt_end::unreachable;
+    }
+    co_return co_await follow(chosen, *stream);
+}
+
+asio::awaitable<attempt_end> model_runner::follow(routing::chosen_endpoint& chosen, http::line_stream& stream)
+{
+    std::string lines;
+    try {
+        if (stream.status() != 200) {
+            lines = co_await stream.next_lines(header_timeout);
+            co_return end_of_refusal(stream.status(), error_of(lines));
+        }
+        m_request->attach(chosen.endpoint, &stream);
+        m_history.accepted = true;
+        m_request->accept();
+        bool ended = false;
+        while (!ended) {
+            const bool first = m_request->tokens().empty();
+            lines = co_await stream.next_lines(first ? first_token_silence : token_silence);
+            if (lines.empty())
+                break;
+            const auto end = take_lines(lines, ended);
+            chosen.guard.prefill_done();
+            m_request->notify();
+            if (end == attempt_end::rejected)
+                co_return end;
+            if (m_request->readers == 0 && now() - m_request->abandoned_at > abandon_grace) {
+                m_request->attach(chosen.endpoint, nullptr);
+                co_await cancel_at(chosen.endpoint);
+                throw request_refused(
+                    {http::refusal_type::deadline_exceeded, "no caller reads the answer", outcome::unknown});
+            }
+        }
+        m_request->attach(chosen.endpoint, nullptr);
+        if (!m_request->assembler().complete())
+            co_return attempt_end::connection_lost;
+        // Reading to the end of the body lets the connection be kept.
+        co_await stream.next_lines(header_timeout);
+        co_return attempt_end::completed;
+    } catch (const http::call_error& error) {
+        m_request->attach(chosen.endpoint, nullptr);
+        if (m_request->assembler().complete())
+            co_return attempt_end::completed;
+        if (m_request->has_move())
+            co_return attempt_end::move_requested;
+        co_return attempt_end::connection_lost;
+    }
+}
+
+attempt_end model_runner::take_lines(const std::string& lines, bool& ended)
+{
+    auto& assembler = m_request->assembler();
+    std::string_view rest = lines;
+    while (!rest.empty()) {
+        const auto end = rest.find('\n');
+        const auto line = rest.substr(0, end);
+        rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
+        auto event = serving::parse_engine_line(line);
+        if (!event)
+            continue;
+        if (auto* token = std::get_if<serving::token_event>(&*event)) {
+            assembler.accept({assembler.attempt(), token->offset, std::move(token->token)});
+        } else {
+            assembler.finish(assembler.attempt(), std::get<serving::end_event>(*event).offset);
+            ended = true;
+        }
+    }
+    return attempt_end::completed;
+}
+
+asio::awaitable<void> model_runner::prepare_move()
+{
+    const auto move = m_request->take_move();
+    const auto endpoint = m_request->endpoint();
+    if (!move || move->import_target.empty() || !endpoint)
+        co_return;
+    const auto path = "/streams/" + http::percent_encode(stream_id_of(m_request->spec())) + "/export";
+    auto message = get_request("POST", path, "", "{}");
+    try {
+        const auto answer =
+            co_await m_client.call(address_of(*endpoint), std::move(message), export_timeout, false);
+        if (answer.status != 200)
+            co_return;
+        boost::system::error_code error;
+        const auto document = boost::json::parse(answer.body, error);
+        if (error || !document.is_object() || !document.get_object().contains("kv"))
+            co_return;
+        const auto& kv = document.get_object().at("kv");
+        m_exported_kv = kv.is_string() ? std::string(kv.get_string()) : boost::json::serialize(kv);
+        m_import_target = move->import_target;
+    } catch (const http::call_error&) {
+        // Without the cache the stream continues from its tokens.
+        co_return;
+    }
+}
+
+asio::awaitable<void> model_runner::cancel_at(std::shared_ptr<const routing::endpoint_info> endpoint)
+{
+    const auto path = "/streams/" + http::percent_encode(stream_id_of(m_request->spec()));
+    auto message = get_request("DELETE", path, "", "");
+    try {
+        co_await m_client.call(address_of(*endpoint), std::move(message), header_timeout);
+    } catch (const http::call_error&) {
+        // The endpoint ends a stream without a reader by itself.
+    }
+}
+
+void model_runner::apply(const serving::continue_elsewhere& step, const routing::endpoint_info& endpoint,
+                         attempt_end end)
+{
+    const auto& spec = m_request->spec();
+    if (end == attempt_end::refused_leaving && m_core.report_endpoint)
+        m_core.report_endpoint(endpoint.id, endpoint_report::leaving);
+    if (end == attempt_end::endpoint_lost && m_core.report_endpoint)
+        m_core.report_endpoint(endpoint.id, endpoint_report::dead);
+    if (step.exclude_endpoint)
+        m_excluded.push_back(endpoint.id);
+    m_history.resumes_without_progress = 0;
+    const auto& kind = end == attempt_end::move_requested ? event::request_moved : event::attempt_failed;
+    log_event(kind, {{"request", spec.id.value()},
+                     {"endpoint", endpoint.id.value()},
+                     {"end", std::string(to_text(end))},
+                     {"offset", std::to_string(m_request->tokens().size())}});
+}
+
+routing::routing_request model_runner::make_routing_request() const
+{
+    const auto& spec = m_request->spec();
+    const auto produced = static_cast<std::uint32_t>(m_request->tokens().size());
+    routing::routing_request result;
+    result.account = spec.account;
+    result.serves = routing::model_target{spec.model, spec.version};
+    result.region = m_core.settings.region;
+    result.domain = m_core.settings.failure_domain;
+    result.prefix_hashes = m_prefix_hashes;
+    result.prompt_tokens = static_cast<std::uint32_t>(m_prompt_tokens) + produced;
+    result.output_tokens = spec.max_tokens - std::min(produced, spec.max_tokens);
+    // An accepted request runs wherever it can; only before acceptance can a missed target still be refused.
+    if (!m_history.accepted)
+        result.first_token_target = spec.first_token_target;
+    result.excluded = m_excluded;
+    return result;
+}
+
+http::refusal model_runner::refusal_for(routing::no_endpoint reason) const
+{
+    const auto result = m_history.accepted ? outcome::unknown : outcome::not_run;
+    switch (reason) {
+    case routing::no_endpoint::all_full:
+        return {http::refusal_type::overloaded, "every endpoint of the model is busy", result,
+                milliseconds(1'000)};
+    case routing::no_endpoint::target_cannot_be_met:
+        return {http::refusal_type::deadline_unreachable, "the latency target cannot be met now", result,
+                milliseconds(1'000)};
+    case routing::no_endpoint::all_leaving:
+    case routing::no_endpoint::no_endpoint_for_target:
+        break;
+    }
+    return {http::refusal_type::no_endpoint, "no endpoint serves the model now", result, milliseconds(2'000)};
+}
+
+http::refusal model_runner::failure_for(serving::give_up_reason reason) const
+{
+    const auto result = m_history.accepted ? outcome::unknown : outcome::not_run;
+    switch (reason) {
+    case serving::give_up_reason::deadline_exceeded:
+        return {http::refusal_type::deadline_exceeded, "the deadline has passed", result};
+    case serving::give_up_reason::attempts_exhausted:
+        return {http::refusal_type::endpoint_failed, "no endpoint took the request", result,
+                milliseconds(1'000)};
+    case serving::give_up_reason::rejected:
+        break;
+    }
+    return {http::refusal_type::malformed, "the endpoint rejects the request", result};
+}
+
+} // namespace siskinwharf::entry
--- /dev/null
+++ b/Services/siskinwharfd/src/model_runner.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+
+#include "entry_core.h"
+#include "live_request.h"
+#include "siskinwharf/http/client.h"
+#include "siskinwharf/serving/next_step.h"
+
+namespace siskinwharf::entry {
+
+/// Runs one model request: chooses endpoints, follows the stream, resumes, moves and continues elsewhere
+/// until the answer is whole or the request has failed. Runs on the thread of its worker.
+class model_runner {
+public:
+    model_runner(entry_core& core, http::client& client, std::shared_ptr<live_request> request);
+
+    /// Ends when the request has ended. Does not throw.
+    boost::asio::awaitable<void> run();
+
+private:
+    boost::asio::awaitable<void> run_attempts();
+    /// Waits for a slot at an endpoint. Throws `request_refused`.
+    boost::asio::awaitable<routing::chosen_endpoint> acquire();
+    boost::asio::awaitable<serving::attempt_end> run_attempt(routing::chosen_endpoint& chosen);
+    boost::asio::awaitable<serving::attempt_end> resume_attempt(routing::chosen_endpoint& chosen);
+    boost::asio::awaitable<serving::attempt_end> import_attempt(routing::chosen_endpoint& chosen,
+                                                                std::string kv);
+    boost::asio::awaitable<serving::attempt_end> follow(routing::chosen_endpoint& chosen,
+                                                        http::line_stream& stream);
+    /// Carries out a move that the reclaim plan asked for; falls back to continuing elsewhere.
+    boost::asio::awaitable<void> prepare_move();
+    /// Tells an endpoint that its stream is not wanted any more.
+    boost::asio::awaitable<void> cancel_at(std::shared_ptr<const routing::endpoint_info> endpoint);
+
+    serving::attempt_end take_lines(const std::string& lines, bool& ended);
+    [[nodiscard]] routing::routing_request make_routing_request() const;
+    [[nodiscard]] http::refusal refusal_for(routing::no_endpoint reason) const;
+    [[nodiscard]] http::refusal failure_for(serving::give_up_reason reason) const;
+    void apply(const serving::continue_elsewhere& step, const routing::endpoint_info& endpoint,
+               serving::attempt_end end);
+
+    entry_core& m_core;
+    http::client& m_client;
+    std::shared_ptr<live_request> m_request;
+    std::vector<std::uint64_t> m_prefix_hashes;
+    std::uint64_t m_prompt_tokens = 0;
+    serving::attempt_history m_history;
+    std::vector<endpoint_id> m_excluded;
+    /// KV cache that was exported for the next attempt, and the endpoint that imports it.
+    std::string m_exported_kv;
+    endpoint_id m_import_target;
+};
+
+} // namespace siskinwharf::entry
--- /dev/null
+++ b/Services/siskinwharfd/src/worker.cpp
@@ -0,0 +1,138 @@
+#include "worker.h"
+
+#include <algorithm>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "model_runner.h"
+#include "siskinwharf/serving/chat_request.h"
+
+namespace siskinwharf::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// How long an ended answer can still be fetched.
+constexpr seconds retention{60};
+constexpr seconds expiry_period{5};
+
+std::string key_of(const account_id& account, const request_id& id)
+{
+    return account.value() + ":" + id.value();
+}
+
+} // namespace
+
+worker::worker(entry_core& core)
+    : m_core(core), m_work(asio::make_work_guard(m_context)), m_client(m_context.get_executor())
+{
+}
+
+worker::~worker()
+{
+    stop();
+}
+
+void worker::start()
+{
+    asio::co_spawn(m_context, expire_requests(), asio::detached);
+    m_thread = std::thread([this] { m_context.run(); });
+}
+
+void worker::stop()
+{
+    m_work.reset();
+    m_context.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+std::shared_ptr<const sheet_view> worker::current_sheet()
+{
+    if (m_sheet && m_sheet->version() == m_core.sheets.version())
+        return m_sheet;
+    if (auto current = m_core.sheets.current())
+        m_sheet = std::make_shared<const sheet_view>(std::move(current));
+    return m_sheet;
+}
+
+std::shared_ptr<live_request> worker::submit(request_spec spec)
+{
+    const auto key = key_of(spec.account, spec.id);
+    if (const auto found = m_requests.find(key); found != m_requests.end())
+        return found->second;
+    auto request = std::make_shared<live_request>(m_context.get_executor(), std::move(spec));
+    m_requests.emplace(key, request);
+    asio::co_spawn(m_context, run_request(request), asio::detached);
+    return request;
+}
+
+std::shared_ptr<live_request> worker::find(const account_id& account, const request_id& id) const
+{
+    const auto found = m_requests.find(key_of(account, id));
+    return found == m_requests.end() ? nullptr : found->second;
+}
+
+std::size_t worker::active_requests() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(m_requests, [](const auto& entry) { return !entry.second->ended(); }));
+}
+
+asio::awaitable<void> worker::run_request(std::shared_ptr<live_request> request)
+{
+    model_runner runner(m_core, m_client, request);
+    co_await runner.run();
+    // A request that was refused before acceptance leaves nothing to fetch, and its id can be used again.
+    if (request->current_phase() == live_request::phase::failed && request->tokens().empty())
+        m_requests.erase(key_of(request->spec().account, request->spec().id));
+}
+
+asio::awaitable<void> worker::expire_requests()
+{
+    asio::steady_timer timer(m_context);
+    while (true) {
+        timer.expires_after(expiry_period);
+        if (const auto [error] = co_await timer.async_wait(asio::as_tuple(asio::use_awaitable)); error)
+            co_return;
+        const auto time = now();
+        std::erase_if(m_requests, [time](const auto& entry) {
+            return entry.second->ended() && time - entry.second->ended_at > retention;
+        });
+    }
+}
+
+asio::awaitable<std::optional<answer_part>> worker::read_answer(worker& owner, account_id account,
+                                                                request_id id, std::uint64_t offset)
+{
+    co_return co_await asio::co_spawn(
+        owner.m_context,
+        [&owner, account, id, offset]() -> asio::awaitable<std::optional<answer_part>> {
+            const auto request = owner.find(account, id);
+            if (!request)
+                co_return std::nullopt;
+            ++request->readers;
+            while (!request->ended() && request->tokens().size() <= offset)
+                co_await request->wait_for_change();
+            if (--request->readers == 0)
+                request->abandoned_at = now();
+            answer_part part;
+            const auto& tokens = request->tokens();
+            if (offset < tokens.size())
+                part.tokens.assign(tokens.begin() + static_cast<std::ptrdiff_t>(offset), tokens.end());
+            part.first_offset = offset;
+            part.phase = request->current_phase();
+            part.failure = request->failure();
+            part.identity = request->identity();
+            part.prompt_tokens = serving::count_tokens(request->spec().prompt);
+            co_return part;
+        },
+        asio::use_awaitable);
+}
+
+} // namespace siskinwharf::entry
--- /dev/null
+++ b/Services/siskinwharfd/src/worker.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "entry_core.h"
+#include "live_request.h"
+#include "sheet_view.h"
+#include "siskinwharf/http/client.h"
+
+namespace siskinwharf::entry {
+
+/// What a caller that resumes an answer gets next.
+struct answer_part {
+    std::vector<std::string> tokens;
+    std::uint64_t first_offset = 0;
+    live_request::phase phase = live_request::phase::waiting;
+    std::optional<http::refusal> failure;
+    serving::answer_identity identity;
+    std::uint64_t prompt_tokens = 0;
+};
+
+/// One thread with its own I/O context, client connections and requests. Requests never move between threads,
+/// so that their path takes no lock.
+class worker {
+public:
+    explicit worker(entry_core& core);
+    worker(const worker&) = delete;
+    worker& operator=(const worker&) = delete;
+    worker(worker&&) = delete;
+    worker& operator=(worker&&) = delete;
+    ~worker();
+
+    void start();
+    /// Ends the thread; requests in progress are dropped.
+    void stop();
+
+    [[nodiscard]] boost::asio::io_context& context() { return m_context; }
+    [[nodiscard]] http::client& client() { return m_client; }
+
+    // The functions below must be called on the worker's thread.
+
+    /// The sheet in force, or null.
+    [[nodiscard]] std::shared_ptr<const sheet_view> current_sheet();
+    /// Registers a request and starts to run it. Returns the running one if the id is taken.
+    std::shared_ptr<live_request> submit(request_spec spec);
+    [[nodiscard]] std::shared_ptr<live_request> find(const account_id& account, const request_id& id) const;
+    /// Requests that have not ended.
+    [[nodiscard]] std::size_t active_requests() const;
+    [[nodiscard]] const std::unordered_map<std::string, std::shared_ptr<live_request>>& requests() const
+    {
+        return m_requests;
+    }
+
+    /// Returns the tokens from `offset` on as soon as there are any or the request has ended; nothing if the
+    /// request is not here. May be awaited from any thread.
+    static boost::asio::awaitable<std::optional<answer_part>>
+    read_answer(worker& owner, account_id account, request_id id, std::uint64_t offset);
+
+private:
+    boost::asio::awaitable<void> expire_requests();
+    boost::asio::awaitable<void> run_request(std::shared_ptr<live_request> request);
+
+    entry_core& m_core;
+    boost::asio::io_context m_context{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    http::client m_client;
+    std::shared_ptr<const sheet_view> m_sheet;
+    std::unordered_map<std::string, std::shared_ptr<live_request>> m_requests;
+    std::thread m_thread;
+};
+
+} // namespace siskinwharf::entry
