Routing: Plan what happens to the streams of leaving endpoints

plan_reclaim selects for each stream whether it finishes, moves by KV export or continues elsewhere from its tokens. It is greedy: finishing costs nothing and takes nothing from other streams; the rest is placed in the order of the tokens that would be recomputed.

--- /dev/null
+++ b/Libraries/routing/tests/reclaim_plan_test.cpp
@@ -0,0 +1,125 @@
+#include <map>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "reclaim_scenario.h"
+
+namespace siskinwharf::routing {
+
+namespace {
+
+struct single_case {
+    const char* description;
+    nanoseconds notice;
+    std::uint32_t remaining;
+    std::uint32_t free;
+    bool imports;
+    const char* target_region;
+    double weight;
+    nanoseconds deadline;
+    std::size_t action; ///< Index into `reclaim_action`.
+    bool meets_deadline;
+};
+
+/// 1,000 known tokens with 1 GB of KV cache: export takes 1 s, 2 cents between regions.
+reclaim_situation single(const single_case& fault)
+{
+    const target served = service_target{service_id("s")};
+    reclaim_situation situation;
+    situation.egress = {{region_id("a"), 2}};
+    situation.leaving = {{endpoint_id("l"), region_id("a"), served, fault.notice, 1e9, 100}};
+    situation.streams = {
+        {request_id("r"), endpoint_id("l"), 900, 100, fault.remaining, 1'000'000'000, fault.deadline, {}}};
+    situation.targets = {
+        {endpoint_id("t"), region_id(fault.target_region), served, fault.free, fault.imports, 1000, 50}};
+    return situation;
+}
+
+} // namespace
+
+TEST_CASE("each stream gets the cheapest option that meets its deadline")
+{
+    const single_case cases[] = {
+        {"finishes in time", seconds(5), 400, 9, true, "a", 1, seconds(60), 0, true},
+        {"too long to finish", seconds(5), 600, 9, true, "a", 1, seconds(60), 1, true},
+        {"no time to export", milliseconds(900), 600, 9, true, "a", 1, seconds(60), 2, true},
+        {"target cannot import", seconds(5), 600, 9, false, "a", 1, seconds(60), 2, true},
+        {"volume dearer than recomputation", seconds(20), 2500, 9, true, "b", 1999, seconds(60), 2, true},
+        {"recomputation dearer than volume", seconds(20), 2500, 9, true, "b", 2001, seconds(60), 1, true},
+        {"only the recomputation is in time", seconds(20), 2500, 9, true, "b", 1e6, seconds(52), 2, true},
+        {"nothing in time: the soonest", seconds(5), 600, 9, true, "a", 1, seconds(1), 1, false},
+        {"no free slot", seconds(5), 600, 0, true, "a", 1, seconds(60), 3, false},
+    };
+    for (const auto& fault : cases) {
+        INFO(fault.description);
+        const auto plan = plan_reclaim(single(fault), {.microcents_per_recomputed_token = fault.weight});
+        CHECK(plan.streams[0].action.index() == fault.action);
+        CHECK(plan.streams[0].meets_deadline == fault.meets_deadline);
+    }
+    auto unknown = single(cases[0]);
+    unknown.leaving.clear();
+    CHECK_THROWS_AS(plan_reclaim(unknown, {}), unknown_leaving_endpoint);
+}
+
+TEST_CASE("reclaiming a failure domain recomputes at most a tenth of what a restart does")
+{
+    const auto situation = make_situation({});
+    for (const double weight : {cost_heavy_weight, recompute_heavy_weight}) {
+        const auto plan = plan_reclaim(situation, {.microcents_per_recomputed_token = weight});
+        CHECK(plan.recomputed_tokens * 10 <= restart_tokens(situation));
+        CHECK(plan.late == 0);
+        CHECK(plan.waiting == 0);
+    }
+}
+
+TEST_CASE("property: a plan keeps to free slots, export bandwidth and the time left, and spreads streams")
+{
+    CHECK(rc::check([] {
+        reclaim_scenario scenario;
+        scenario.leaving = *rc::gen::inRange(1, 6);
+        scenario.targets_in_region = *rc::gen::inRange(0, 8);
+        scenario.targets_elsewhere = *rc::gen::inRange(0, 8);
+        scenario.free_streams = *rc::gen::inRange<std::uint32_t>(0, 30);
+        scenario.notice = seconds(*rc::gen::inRange(0, 40));
+        scenario.seed = *rc::gen::arbitrary<std::uint64_t>();
+        const auto situation = make_situation(scenario);
+        const auto plan = plan_reclaim(situation, {.microcents_per_recomputed_token = 300});
+        std::map<std::string, std::uint32_t> placed;
+        std::map<std::string, std::map<nanoseconds, nanoseconds>> exports;
+        std::uint64_t least_valuable_placed = UINT64_MAX;
+        std::uint64_t most_valuable_waiting = 0;
+        for (std::size_t index = 0; index < plan.streams.size(); ++index) {
+            const auto& stream = situation.streams[index];
+            const auto& action = plan.streams[index].action;
+            const std::uint32_t cached = stream.cached.empty() ? 0 : stream.cached[0].tokens;
+            const std::uint64_t value =
+                stream.prompt_tokens + stream.produced_tokens - std::min(cached, stream.prompt_tokens);
+            const auto length = std::chrono::duration_cast<nanoseconds>(
+                std::chrono::duration<double>(static_cast<double>(stream.kv_bytes) / 1.25e9));
+            if (const auto* moved = std::get_if<move_cache>(&action)) {
+                ++placed[moved->to.value()];
+                exports[stream.endpoint.value()][moved->export_start] = moved->export_start + length;
+            } else if (const auto* continued = std::get_if<continue_elsewhere>(&action)) {
+                ++placed[continued->to.value()];
+            }
+            if (std::holds_alternative<wait_for_capacity>(action))
+                most_valuable_waiting = std::max(most_valuable_waiting, value);
+            else if (!std::holds_alternative<finish_here>(action))
+                least_valuable_placed = std::min(least_valuable_placed, value);
+        }
+        for (const auto& [to, count] : placed)
+            RC_ASSERT(count <= scenario.free_streams);
+        RC_ASSERT(most_valuable_waiting <= least_valuable_placed);
+        for (const auto& [from, intervals] : exports) {
+            nanoseconds free_at{0};
+            for (const auto& [begin, end] : intervals) {
+                RC_ASSERT(begin >= free_at);
+                RC_ASSERT(end <= scenario.notice);
+                free_at = end;
+            }
+        }
+    }));
+}
+
+} // namespace siskinwharf::routing
