--- a/Libraries/claims/benchmarks/claim_batcher_benchmark.cpp
+++ b/Libraries/claims/benchmarks/claim_batcher_benchmark.cpp
@@ -1,7 +1,7 @@
 // Prints how many claim writes a second a table with 300 transactions/s carries, in virtual time.
 #include <fmt/format.h>
 
-#include "../tests/batch_simulation.h"
+#include "batch_simulation.h"
 
 int main()
 {
--- a/Libraries/claims/tests/claim_batcher_test.cpp
+++ b/Libraries/claims/tests/claim_batcher_test.cpp
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "batch_simulation.h"
+#include "../benchmarks/batch_simulation.h"
 
 namespace siskinwharf::claims {
 
