Services: Move streams off endpoints that are being reclaimed

Each worker plans the streams of all endpoints of one wave together and its runners finish, move the KV cache or continue elsewhere. An import names the offset that the caller needs next: the engine exports more tokens than had arrived, and the gap would have held up the answer until the stream was resumed.

--- a/Services/siskinwharfd/src/entry_core.h
+++ b/Services/siskinwharfd/src/entry_core.h
@@ -32,6 +32,8 @@
     std::atomic<bool> stopping{false};
     /// Reports what a request found out about an endpoint to the control thread.
     std::function<void(const endpoint_id&, endpoint_report)> report_endpoint;
+    /// Live entry processes of the own failure domain, this one included.
+    std::atomic<std::uint32_t> entries_in_domain{1};
     /// Numbers attempts and requests of this process.
     std::atomic<std::uint64_t> next_number{1};
 };
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -55,7 +55,10 @@
 entry_process::entry_process(settings::settings configured)
     : m_core(configured, options_of(configured), now()),
       m_client(m_control.get_executor()),
-      m_platform(m_control, m_core, m_client)
+      m_platform(m_control, m_core, m_client, [this](const std::map<endpoint_id, monotonic_time>& gone_at) {
+          for (auto& own : m_workers)
+              asio::post(own->context(), [&own, gone_at] { own->reclaims().on_leaving(gone_at); });
+      })
 {
     const auto& settings = m_core.settings;
     std::optional<http::tls_files> tls;
--- a/Services/siskinwharfd/src/live_request.cpp
+++ b/Services/siskinwharfd/src/live_request.cpp
@@ -42,6 +42,24 @@
     notify();
 }
 
+void live_request::note_tokens(std::size_t count, monotonic_time time)
+{
+    if (m_first_tokens_at == monotonic_time{}) {
+        m_first_tokens_at = time;
+        return;
+    }
+    m_tokens_since_first += count;
+    m_last_tokens_at = time;
+}
+
+double live_request::tokens_per_second() const
+{
+    const std::chrono::duration<double> elapsed = m_last_tokens_at - m_first_tokens_at;
+    return m_tokens_since_first == 0 || elapsed.count() <= 0
+               ? 0
+               : static_cast<double>(m_tokens_since_first) / elapsed.count();
+}
+
 void live_request::notify()
 {
     m_changed.cancel();
@@ -60,6 +78,8 @@
 
 void live_request::detach()
 {
+    m_first_tokens_at = {};
+    m_tokens_since_first = 0;
     m_endpoint.reset();
     m_stream = nullptr;
 }
--- a/Services/siskinwharfd/src/live_request.h
+++ b/Services/siskinwharfd/src/live_request.h
@@ -36,8 +36,8 @@
 
 /// Tells the runner to leave an endpoint that is being reclaimed.
 struct move_request {
-    /// Endpoint that imports the KV cache; empty to continue elsewhere from the tokens.
-    endpoint_id import_target;
+    endpoint_id to;
+    bool with_cache = false; ///< Export the KV cache and import it at the target.
 };
 
 /// One model request in progress: its record, its answer so far, and the callers that wait for it. Confined
@@ -61,6 +61,10 @@
     void accept();
     void finish();
     void fail(http::refusal reason);
+    /// Notes that tokens arrived, for the speed of the stream.
+    void note_tokens(std::size_t count, monotonic_time time);
+    /// Speed of the stream at its present endpoint; 0 before it is known.
+    [[nodiscard]] double tokens_per_second() const;
     /// Wakes everybody who waits for a change.
     void notify();
     /// Returns after the next change.
@@ -94,6 +98,9 @@
     std::shared_ptr<const routing::endpoint_info> m_endpoint;
     http::line_stream* m_stream = nullptr;
     std::optional<move_request> m_move;
+    monotonic_time m_first_tokens_at{};
+    monotonic_time m_last_tokens_at{};
+    std::size_t m_tokens_since_first = 0;
 };
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/model_runner.cpp
+++ b/Services/siskinwharfd/src/model_runner.cpp
@@ -143,9 +143,11 @@
         auto chosen = co_await acquire();
         const auto endpoint = chosen.endpoint;
         ++m_history.attempts;
-        auto end = endpoint->id == m_import_target ? co_await import_attempt(chosen, std::move(m_exported_kv))
-                                                   : co_await run_attempt(chosen);
-        m_import_target = {};
+        const bool imports = endpoint->id == m_planned_target && !m_exported_kv.empty();
+        auto end = imports ? co_await import_attempt(chosen, std::exchange(m_exported_kv, {}))
+                           : co_await run_attempt(chosen);
+        m_planned_target = {};
+        m_exported_kv.clear();
         auto step = serving::decide_next_step(end, m_history, now());
         while (const auto* resume = std::get_if<serving::resume_stream>(&step)) {
             ++m_history.resumes_without_progress;
@@ -173,14 +175,8 @@
 {
     const auto give_up_at = now() + longest_wait_for_slot;
     while (true) {
-        if (!m_import_target.empty()) {
-            const auto info = m_core.table.find_info(m_import_target);
-            const auto load = m_core.table.find_load(m_import_target);
-            if (info && load && load->try_begin(now(), info->capacity, 0, m_request->spec().max_tokens))
-                co_return routing::chosen_endpoint{
-                    info, routing::in_flight_guard(load, 0, m_request->spec().max_tokens), 0, nanoseconds(0)};
-            m_import_target = {};
-        }
+        if (auto planned = take_planned_target())
+            co_return std::move(*planned);
         auto decision = m_core.router.choose(make_routing_request(), now());
         if (auto* chosen = std::get_if<routing::chosen_endpoint>(&decision))
             co_return std::move(*chosen);
@@ -195,6 +191,23 @@
     }
 }
 
+std::optional<routing::chosen_endpoint> model_runner::take_planned_target()
+{
+    if (m_planned_target.empty())
+        return std::nullopt;
+    const auto info = m_core.table.find_info(m_planned_target);
+    const auto load = m_core.table.find_load(m_planned_target);
+    const std::uint64_t prompt_tokens =
+        m_exported_kv.empty() ? m_prompt_tokens + m_request->tokens().size() : 0;
+    const auto output_tokens = m_request->spec().max_tokens;
+    if (info && load && info->state == routing::endpoint_state::live &&
+        load->try_begin(now(), info->capacity, prompt_tokens, output_tokens))
+        return routing::chosen_endpoint{info, routing::in_flight_guard(load, prompt_tokens, output_tokens), 0,
+                                        nanoseconds(0)};
+    m_planned_target = {};
+    return std::nullopt;
+}
+
 asio::awaitable<attempt_end> model_runner::run_attempt(routing::chosen_endpoint& chosen)
 {
     const auto& spec = m_request->spec();
@@ -244,6 +257,7 @@
     body["stream_id"] = stream_id_of(m_request->spec());
     body["attempt"] = m_request->assembler().begin_attempt();
     body["kv"] = std::move(kv);
+    body["offset"] = m_request->tokens().size();
     auto message = get_request("POST", "/streams/import", "", boost::json::serialize(body));
     m_request->attach(chosen.endpoint, nullptr);
     std::unique_ptr<http::line_stream> stream;
@@ -272,11 +286,11 @@
             lines = co_await stream.next_lines(first ? first_token_silence : token_silence);
             if (lines.empty())
                 break;
-            const auto end = take_lines(lines, ended);
+            const auto before = m_request->tokens().size();
+            take_lines(lines, ended);
+            m_request->note_tokens(m_request->tokens().size() - before, now());
             chosen.guard.prefill_done();
             m_request->notify();
-            if (end == attempt_end::rejected)
-                co_return end;
             if (m_request->readers == 0 && now() - m_request->abandoned_at > abandon_grace) {
                 m_request->attach(chosen.endpoint, nullptr);
                 co_await cancel_at(chosen.endpoint);
@@ -300,7 +314,7 @@
     }
 }
 
-attempt_end model_runner::take_lines(const std::string& lines, bool& ended)
+void model_runner::take_lines(const std::string& lines, bool& ended)
 {
     auto& assembler = m_request->assembler();
     std::string_view rest = lines;
@@ -318,14 +332,16 @@
             ended = true;
         }
     }
-    return attempt_end::completed;
 }
 
 asio::awaitable<void> model_runner::prepare_move()
 {
     const auto move = m_request->take_move();
     const auto endpoint = m_request->endpoint();
-    if (!move || move->import_target.empty() || !endpoint)
+    if (!move || !endpoint)
+        co_return;
+    m_planned_target = move->to;
+    if (!move->with_cache)
         co_return;
     const auto path = "/streams/" + http::percent_encode(stream_id_of(m_request->spec())) + "/export";
     auto message = get_request("POST", path, "", "{}");
@@ -340,7 +356,6 @@
             co_return;
         const auto& kv = document.get_object().at("kv");
         m_exported_kv = kv.is_string() ? std::string(kv.get_string()) : boost::json::serialize(kv);
-        m_import_target = move->import_target;
     } catch (const http::call_error&) {
         // Without the cache the stream continues from its tokens.
         co_return;
--- a/Services/siskinwharfd/src/model_runner.h
+++ b/Services/siskinwharfd/src/model_runner.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -36,7 +38,9 @@
     /// Tells an endpoint that its stream is not wanted any more.
     boost::asio::awaitable<void> cancel_at(std::shared_ptr<const routing::endpoint_info> endpoint);
 
-    serving::attempt_end take_lines(const std::string& lines, bool& ended);
+    /// The endpoint that the reclaim plan chose, if it still has a slot.
+    [[nodiscard]] std::optional<routing::chosen_endpoint> take_planned_target();
+    void take_lines(const std::string& lines, bool& ended);
     [[nodiscard]] routing::routing_request make_routing_request() const;
     [[nodiscard]] http::refusal refusal_for(routing::no_endpoint reason) const;
     [[nodiscard]] http::refusal failure_for(serving::give_up_reason reason) const;
@@ -50,9 +54,10 @@
     std::uint64_t m_prompt_tokens = 0;
     serving::attempt_history m_history;
     std::vector<endpoint_id> m_excluded;
-    /// KV cache that was exported for the next attempt, and the endpoint that imports it.
+    /// Endpoint that the reclaim plan chose for the next attempt, and the KV cache that was exported for it,
+    /// if any.
+    endpoint_id m_planned_target;
     std::string m_exported_kv;
-    endpoint_id m_import_target;
 };
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/platform_sync.cpp
+++ b/Services/siskinwharfd/src/platform_sync.cpp
@@ -20,6 +20,9 @@
 
 constexpr milliseconds instance_poll_period{500};
 constexpr std::uint64_t seconds_per_hour = 3600;
+/// Time until a leaving endpoint is gone where nobody has said it. The shortest notice of the cloud API is
+/// seconds.
+constexpr milliseconds assumed_notice{2'000};
 
 platform::platform_access access_of(const settings::settings& settings)
 {
@@ -64,9 +67,11 @@
 
 } // namespace
 
-platform_sync::platform_sync(asio::io_context& context, entry_core& core, http::client& client)
+platform_sync::platform_sync(asio::io_context& context, entry_core& core, http::client& client,
+                             leaving_handler on_leaving)
     : m_context(context),
       m_core(core),
+      m_on_leaving(std::move(on_leaving)),
       m_table(client, access_of(core.settings)),
       m_instances(client, access_of(core.settings))
 {
@@ -136,8 +141,13 @@
 void platform_sync::apply_instances(const std::vector<platform::instance_record>& records)
 {
     routing::table_changes changes;
+    std::map<endpoint_id, monotonic_time> leaving;
     std::set<endpoint_id> listed;
+    std::uint32_t entries = 0;
     for (const auto& record : records) {
+        if (std::holds_alternative<platform::serves_entry>(record.serves) &&
+            record.domain == m_core.settings.failure_domain && !record.leaving)
+            ++entries;
         auto info = to_endpoint(record);
         if (!info)
             continue;
@@ -156,6 +166,8 @@
         else if (info->state == routing::endpoint_state::leaving &&
                  known->state == routing::endpoint_state::live)
             log_event(event::endpoint_leaving, {{"endpoint", info->id.value()}, {"source", "instance_list"}});
+        if (known && info->state == routing::endpoint_state::leaving)
+            leaving[info->id] = now() + record.leaves_in.value_or(assumed_notice);
         changes.put.push_back(std::move(*info));
     }
     std::erase_if(m_started, [&](const auto& entry) {
@@ -164,8 +176,11 @@
         changes.remove.push_back(entry.first);
         return true;
     });
+    m_core.entries_in_domain = std::max<std::uint32_t>(entries, 1);
     if (!changes.put.empty() || !changes.remove.empty())
         m_core.table.publish(changes);
+    if (!leaving.empty())
+        m_on_leaving(std::move(leaving));
 }
 
 void platform_sync::report(const endpoint_id& endpoint, endpoint_report report)
@@ -177,6 +192,8 @@
         return;
     const auto& kind = report == endpoint_report::dead ? event::endpoint_dead : event::endpoint_leaving;
     log_event(kind, {{"endpoint", endpoint.value()}, {"source", "request"}});
+    if (report == endpoint_report::leaving)
+        m_on_leaving({{endpoint, now() + assumed_notice}});
 }
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/platform_sync.h
+++ b/Services/siskinwharfd/src/platform_sync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <random>
 
@@ -16,7 +17,11 @@
 /// thread.
 class platform_sync {
 public:
-    platform_sync(boost::asio::io_context& context, entry_core& core, http::client& client);
+    using leaving_handler = std::function<void(std::map<endpoint_id, monotonic_time>)>;
+
+    /// `on_leaving` is called on the control thread with endpoints that began to leave and when each is gone.
+    platform_sync(boost::asio::io_context& context, entry_core& core, http::client& client,
+                  leaving_handler on_leaving);
 
     void start();
     /// Takes in what a request found out. Must be called on the control thread.
@@ -31,6 +36,7 @@
 
     boost::asio::io_context& m_context;
     entry_core& m_core;
+    leaving_handler m_on_leaving;
     platform::http_table_store m_table;
     platform::http_instance_list m_instances;
     std::mt19937_64 m_random{std::random_device{}()};
--- a/Services/siskinwharfd/src/worker.cpp
+++ b/Services/siskinwharfd/src/worker.cpp
@@ -29,7 +29,10 @@
 } // namespace
 
 worker::worker(entry_core& core)
-    : m_core(core), m_work(asio::make_work_guard(m_context)), m_client(m_context.get_executor())
+    : m_core(core),
+      m_work(asio::make_work_guard(m_context)),
+      m_client(m_context.get_executor()),
+      m_reclaims(core, *this)
 {
 }
 
--- a/Services/siskinwharfd/src/worker.h
+++ b/Services/siskinwharfd/src/worker.h
@@ -12,6 +12,7 @@
 
 #include "entry_core.h"
 #include "live_request.h"
+#include "reclaim_coordinator.h"
 #include "sheet_view.h"
 #include "siskinwharf/http/client.h"
 
@@ -44,6 +45,7 @@
 
     [[nodiscard]] boost::asio::io_context& context() { return m_context; }
     [[nodiscard]] http::client& client() { return m_client; }
+    [[nodiscard]] reclaim_coordinator& reclaims() { return m_reclaims; }
 
     // The functions below must be called on the worker's thread.
 
@@ -74,6 +76,7 @@
     http::client m_client;
     std::shared_ptr<const sheet_view> m_sheet;
     std::unordered_map<std::string, std::shared_ptr<live_request>> m_requests;
+    reclaim_coordinator m_reclaims;
     std::thread m_thread;
 };
 
