Services: Send non-idempotent calls under a claim

The control thread commits the writes of all claims in groups and writes final rows in the background when the table did not confirm them.

--- a/Services/siskinwharfd/src/caller_api.cpp
+++ b/Services/siskinwharfd/src/caller_api.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds default_deadline{120'000};
 constexpr milliseconds longest_deadline{600'000};
 constexpr std::size_t longest_request_id = 64;
+constexpr std::size_t longest_idempotency_key = 256;
+constexpr std::string_view services_prefix = "/services/";
 
 std::optional<std::uint64_t> parse_number(std::string_view text)
 {
@@ -81,8 +83,9 @@
 
 } // namespace
 
-caller_api::caller_api(entry_core& core, worker& own, const std::vector<std::unique_ptr<worker>>& workers)
-    : m_core(core), m_worker(own), m_workers(workers)
+caller_api::caller_api(entry_core& core, worker& own, const std::vector<std::unique_ptr<worker>>& workers,
+                       claim_committer& committer, holder_query query)
+    : m_core(core), m_worker(own), m_workers(workers), m_committer(committer), m_query(std::move(query))
 {
 }
 
@@ -120,6 +123,10 @@
         co_await resume_answer(std::move(message), writer);
         co_return;
     }
+    if (message.path.starts_with(services_prefix)) {
+        co_await call_service(std::move(message), writer);
+        co_return;
+    }
     if (message.path == "/v1/models") {
         co_await list_models(std::move(message), writer);
         co_return;
@@ -288,6 +295,61 @@
     throw request_refused({refusal_type::not_found, "no such request here", outcome::unknown});
 }
 
+service_call caller_api::admit_call(const sheet_view& sheet, http::request message) const
+{
+    const auto& account = authenticate(sheet, message);
+    const auto rest = message.path.substr(services_prefix.size());
+    const auto slash = std::min(rest.find('/'), rest.size());
+    service_call call;
+    call.account = account.account;
+    call.service = service_id(rest.substr(0, slash));
+    call.deadline = now() + deadline_of(message);
+    const auto* service = sheet.find_service(call.service);
+    const auto* grant = sheet.find_grant(account.account, call.service.value());
+    if (service == nullptr || grant == nullptr ||
+        std::ranges::find(grant->regions, m_core.settings.region) == grant->regions.end())
+        throw request_refused({refusal_type::forbidden, "the account may not use this service here"});
+    call.forwarded.method = message.method;
+    call.forwarded.path = slash == rest.size() ? "/" : rest.substr(slash);
+    call.forwarded.query = message.query;
+    // A path with encoded characters or dot segments could hide a prefix whose calls must not be repeated.
+    if (call.forwarded.path.find('%') != std::string::npos ||
+        call.forwarded.path.find("/.") != std::string::npos ||
+        call.forwarded.path.find("//") != std::string::npos)
+        throw request_refused(
+            {refusal_type::malformed, "the path of a service call must be in its plain form"});
+    call.idempotent = std::ranges::none_of(service->non_idempotent_prefixes, [&](const auto& prefix) {
+        return call.forwarded.path.starts_with(prefix);
+    });
+    if (const auto key = message.find_header("Idempotency-Key"))
+        call.idempotency_key = std::string(*key);
+    if (!call.idempotent &&
+        (call.idempotency_key.empty() || call.idempotency_key.size() > longest_idempotency_key))
+        throw request_refused(
+            {refusal_type::idempotency_key_missing,
+             "a call that must not be repeated needs an Idempotency-Key of 1 to 256 bytes"});
+    if (const auto token = message.find_header("Siskinwharf-Release-Token"))
+        call.release_token = std::string(*token);
+    for (const auto* name : {"Content-Type", "Accept", "Idempotency-Key"}) {
+        if (const auto value = message.find_header(name))
+            call.forwarded.headers.push_back({name, std::string(*value)});
+    }
+    call.forwarded.headers.push_back({"Siskinwharf-Account", call.account.value()});
+    call.forwarded.body = std::move(message.body);
+    return call;
+}
+
+asio::awaitable<void> caller_api::call_service(http::request message, http::response_writer& writer)
+{
+    if (m_core.stopping)
+        throw request_refused(
+            {refusal_type::stopping, "this entry process is stopping", outcome::not_run, seconds(1)});
+    const auto sheet = require_sheet();
+    service_runner runner(m_core, m_worker.client(), m_committer, m_query,
+                          admit_call(*sheet, std::move(message)));
+    co_await runner.run(writer);
+}
+
 asio::awaitable<void> caller_api::list_models(http::request message, http::response_writer& writer)
 {
     const auto sheet = require_sheet();
--- a/Services/siskinwharfd/src/caller_api.h
+++ b/Services/siskinwharfd/src/caller_api.h
@@ -5,7 +5,9 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include "claim_committer.h"
 #include "entry_core.h"
+#include "service_runner.h"
 #include "siskinwharf/http/server.h"
 #include "worker.h"
 
@@ -15,7 +17,8 @@
 class caller_api {
 public:
     /// `workers` holds all workers of the process, for requests that another one runs.
-    caller_api(entry_core& core, worker& own, const std::vector<std::unique_ptr<worker>>& workers);
+    caller_api(entry_core& core, worker& own, const std::vector<std::unique_ptr<worker>>& workers,
+               claim_committer& committer, holder_query query);
 
     /// Answers one request. Throws `http::caller_disconnected`.
     boost::asio::awaitable<void> handle(http::request message, http::response_writer& writer);
@@ -23,6 +26,7 @@
 private:
     boost::asio::awaitable<void> dispatch(http::request message, http::response_writer& writer);
     boost::asio::awaitable<void> create_completion(http::request message, http::response_writer& writer);
+    boost::asio::awaitable<void> call_service(http::request message, http::response_writer& writer);
     boost::asio::awaitable<void> resume_answer(http::request message, http::response_writer& writer);
     boost::asio::awaitable<void> list_models(http::request message, http::response_writer& writer);
     boost::asio::awaitable<void> stream_answer(std::shared_ptr<live_request> request,
@@ -34,6 +38,7 @@
     [[nodiscard]] const sheet::account_entry& authenticate(const sheet_view& sheet,
                                                            const http::request& message) const;
     /// Checks a chat request against the sheet. Throws `request_refused`.
+    [[nodiscard]] service_call admit_call(const sheet_view& sheet, http::request message) const;
     [[nodiscard]] request_spec admit(const sheet_view& sheet, const http::request& message);
     /// The sheet in force. Throws `request_refused` while the process is not ready.
     [[nodiscard]] std::shared_ptr<const sheet_view> require_sheet();
@@ -41,6 +46,8 @@
     entry_core& m_core;
     worker& m_worker;
     const std::vector<std::unique_ptr<worker>>& m_workers;
+    claim_committer& m_committer;
+    holder_query m_query;
 };
 
 } // namespace siskinwharf::entry
--- /dev/null
+++ b/Services/siskinwharfd/src/claim_committer.cpp
@@ -0,0 +1,137 @@
+#include "claim_committer.h"
+
+#include <algorithm>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "entry_core.h"
+
+namespace siskinwharf::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds idle_period{1'000};
+constexpr milliseconds cleanup_period{100};
+constexpr std::size_t cleanup_writes_at_once = 64;
+
+} // namespace
+
+claim_committer::claim_committer(asio::io_context& control, platform::table_store& table)
+    : m_control(control), m_table(table), m_wake(control)
+{
+}
+
+void claim_committer::start()
+{
+    asio::co_spawn(m_control, commit_groups(), asio::detached);
+    asio::co_spawn(m_control, clean_up(), asio::detached);
+}
+
+asio::awaitable<platform::commit_result> claim_committer::commit(platform::table_write write)
+{
+    co_return co_await asio::co_spawn(m_control, commit_here(std::move(write)), asio::use_awaitable);
+}
+
+asio::awaitable<platform::commit_result> claim_committer::commit_here(platform::table_write write)
+{
+    const auto ticket = m_batcher.submit(std::move(write), now());
+    if (!ticket)
+        co_return platform::table_unavailable{};
+    const auto waiting = std::make_shared<waiting_write>(m_control);
+    m_waiting.emplace(*ticket, waiting);
+    m_wake.cancel();
+    while (!waiting->result)
+        co_await waiting->wake.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_return *waiting->result;
+}
+
+asio::awaitable<platform::read_result> claim_committer::read(std::string key)
+{
+    co_return co_await asio::co_spawn(m_control, m_table.read(std::move(key)), asio::use_awaitable);
+}
+
+asio::awaitable<void> claim_committer::commit_groups()
+{
+    while (true) {
+        while (auto group = m_batcher.next_batch(now()))
+            asio::co_spawn(m_control, send_group(std::move(*group)), asio::detached);
+        m_wake.expires_at(m_batcher.next_due().value_or(now() + idle_period));
+        co_await m_wake.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+asio::awaitable<void> claim_committer::send_group(claims::write_batch group)
+{
+    const auto result = co_await m_table.commit(std::move(group.transaction));
+    for (auto& [ticket, outcome] : m_batcher.on_result(group.number, result)) {
+        const auto found = m_waiting.find(ticket);
+        if (found == m_waiting.end())
+            continue;
+        found->second->result = std::move(outcome);
+        found->second->wake.cancel();
+        m_waiting.erase(found);
+    }
+    m_wake.cancel();
+}
+
+asio::awaitable<void> claim_committer::clean_up()
+{
+    asio::steady_timer timer(m_control);
+    while (true) {
+        for (auto& write : m_cleanup.due(now(), cleanup_writes_at_once))
+            asio::co_spawn(m_control, write_final_row(std::move(write)), asio::detached);
+        timer.expires_after(cleanup_period);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+asio::awaitable<void> claim_committer::write_final_row(claims::cleanup_write write)
+{
+    const auto attempt = write.attempt;
+    const auto result = co_await commit_here(std::move(write.write));
+    m_cleanup.on_result(attempt, result, now());
+}
+
+asio::awaitable<void> claim_committer::begin(claims::attempt_number attempt)
+{
+    co_await asio::co_spawn(
+        m_control,
+        [this, attempt]() -> asio::awaitable<void> {
+            m_running.emplace(attempt, claims::holder_running{});
+            co_return;
+        },
+        asio::use_awaitable);
+}
+
+asio::awaitable<void> claim_committer::end(claims::attempt_number attempt,
+                                           std::optional<claims::claim_obligation> open)
+{
+    co_await asio::co_spawn(
+        m_control,
+        [this, attempt, open = std::move(open)]() mutable -> asio::awaitable<void> {
+            m_running.erase(attempt);
+            if (open)
+                m_cleanup.add(std::move(*open), now());
+            co_return;
+        },
+        asio::use_awaitable);
+}
+
+asio::awaitable<claims::holder_reply> claim_committer::status(claims::attempt_number attempt)
+{
+    co_return co_await asio::co_spawn(
+        m_control,
+        [this, attempt]() -> asio::awaitable<claims::holder_reply> {
+            if (const auto running = m_running.find(attempt); running != m_running.end())
+                co_return running->second;
+            co_return m_cleanup.reply_to_peer(attempt).value_or(claims::holder_unknown{});
+        },
+        asio::use_awaitable);
+}
+
+} // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -55,6 +55,10 @@
 entry_process::entry_process(settings::settings configured)
     : m_core(configured, options_of(configured), now()),
       m_client(m_control.get_executor()),
+      m_table(m_client,
+              platform::platform_access{{m_core.settings.platform.ip, m_core.settings.platform.port},
+                                        m_core.settings.instance.value()}),
+      m_committer(m_control, m_table),
       m_platform(m_control, m_core, m_client, [this](const std::map<endpoint_id, monotonic_time>& gone_at) {
           for (auto& own : m_workers)
               asio::post(own->context(), [&own, gone_at] { own->reclaims().on_leaving(gone_at); });
@@ -66,8 +70,12 @@
         tls = http::tls_files{settings.tls->certificate, settings.tls->private_key};
     for (std::uint32_t index = 0; index < settings.threads; ++index)
         m_workers.push_back(std::make_unique<worker>(m_core));
+    const holder_query query_holder = [](std::string, claims::claim_identity,
+                                         claims::attempt_number) -> asio::awaitable<claims::holder_reply> {
+        co_return claims::holder_unknown{};
+    };
     for (auto& own : m_workers) {
-        m_apis.push_back(std::make_unique<caller_api>(m_core, *own, m_workers));
+        m_apis.push_back(std::make_unique<caller_api>(m_core, *own, m_workers, m_committer, query_holder));
         m_servers.push_back(std::make_unique<http::server>(
             own->context(), http::address{settings.listen.callers.ip, settings.listen.callers.port},
             limits_of(settings),
@@ -94,6 +102,7 @@
                                        {"failure_domain", m_core.settings.failure_domain.value()}});
     m_admin->start();
     m_platform.start();
+    m_committer.start();
     for (std::size_t index = 0; index < m_workers.size(); ++index) {
         m_servers[index]->start();
         m_workers[index]->start();
--- a/Services/siskinwharfd/src/entry_process.h
+++ b/Services/siskinwharfd/src/entry_process.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "caller_api.h"
+#include "claim_committer.h"
 #include "entry_core.h"
 #include "platform_sync.h"
 #include "siskinwharf/http/server.h"
@@ -37,6 +38,8 @@
     entry_core m_core;
     boost::asio::io_context m_control{1};
     http::client m_client;
+    platform::http_table_store m_table;
+    claim_committer m_committer;
     std::vector<std::unique_ptr<worker>> m_workers;
     std::vector<std::unique_ptr<caller_api>> m_apis;
     std::vector<std::unique_ptr<http::server>> m_servers;
