Sheet: Read the current version before the submission row

A repeated submission with a base version could report a conflict with its own sheet: if the transaction of a crashed first attempt took effect between the read of submission/<id> and that of sheet/current, the row looked absent and the version looked moved by someone else. The model of acceptance found this; the new test failed before the change and passes with it. With the current version read first, a missing row after a moved version proves that no transaction of the submission can take effect any more.

--- a/Libraries/sheet/include/siskinwharf/sheet/sheet_submission.h
+++ b/Libraries/sheet/include/siskinwharf/sheet/sheet_submission.h
@@ -64,7 +64,9 @@
 /// Acceptance is one conditional transaction, committed at most once by each object. If its answer is lost,
 /// the machine reads back instead of writing again. It reads `sheet/current` before `submission/<id>`: only a
 /// submission row that is missing after the current version has moved on proves that the transaction can no
-/// longer take effect. In the other order the transaction could take effect between the two reads.
+/// longer take effect. In the other order the transaction could take effect between the two reads. The same
+/// holds for the first two reads, since an earlier object under the same id may have been lost with its
+/// process.
 class sheet_submission {
 public:
     /// Delay before the first repeated read-back; doubles with each further one.
@@ -86,8 +88,8 @@
 
 private:
     enum class state {
-        reading_submission,
         reading_current,
+        reading_submission,
         committing,
         reading_back_current,
         reading_back_submission,
@@ -102,6 +104,7 @@
     void on_row(const optional_row& row);
     void on_no_answer();
     void on_current(const optional_row& row);
+    void on_submission(const optional_row& row);
     void on_current_read_back(const optional_row& row);
     void on_submission_read_back(const optional_row& row);
     void on_winner(const optional_row& row);
@@ -116,7 +119,7 @@
     std::string m_submission;
     std::string m_digest;
     std::optional<std::uint64_t> m_base_version;
-    state m_state = state::reading_submission;
+    state m_state = state::reading_current;
     submission_step m_next;
     std::uint64_t m_current_version = 0;
     std::uint64_t m_current_row_version = 0;
--- a/Libraries/sheet/src/sheet_submission.cpp
+++ b/Libraries/sheet/src/sheet_submission.cpp
@@ -32,7 +32,7 @@
     if (!is_name(m_submission))
         throw std::invalid_argument("submission id: found \"" + printable(m_submission) + "\", allowed " +
                                     std::string(name_rule));
-    read(state::reading_submission, submission_key(m_submission));
+    read(state::reading_current, std::string(current_key));
 }
 
 void sheet_submission::on_read(const platform::read_result& result)
@@ -62,16 +62,12 @@
 void sheet_submission::on_row(const optional_row& row)
 {
     switch (m_state) {
-    case state::reading_submission:
-        // An operator who repeats a submission under the same id gets the result of the first one.
-        if (row)
-            on_submission_found(*row);
-        else
-            read(state::reading_current, std::string(current_key));
-        break;
     case state::reading_current:
         on_current(row);
         break;
+    case state::reading_submission:
+        on_submission(row);
+        break;
     case state::reading_back_current:
         on_current_read_back(row);
         break;
@@ -110,6 +106,14 @@
         return end_unresolved(unresolved_reason::malformed_row);
     m_current_version = *version;
     m_current_row_version = row ? row->version : 0;
+    read(state::reading_submission, submission_key(m_submission));
+}
+
+void sheet_submission::on_submission(const optional_row& row)
+{
+    // An operator who repeats a submission under the same id gets the result of the first one.
+    if (row)
+        return on_submission_found(*row);
     if (m_base_version && *m_base_version != m_current_version)
         return read_winner(m_current_version);
     commit();
--- a/Libraries/sheet/tests/sheet_submission_test.cpp
+++ b/Libraries/sheet/tests/sheet_submission_test.cpp
@@ -208,6 +208,21 @@
     CHECK(run(submission, table) == submission_result(submission_accepted{1}));
 }
 
+TEST_CASE("a repeated submission does not report a conflict with its own late transaction")
+{
+    fake_table table;
+    sheet_submission crashed(make_text(1), "first", 0);
+    step(crashed, table, fault::none);
+    step(crashed, table, fault::none);
+    step(crashed, table, fault::late_effect);
+    sheet_submission repeated(make_text(1), "first", 0);
+    const bool is_after_first_read = GENERATE(false, true);
+    if (is_after_first_read)
+        step(repeated, table, fault::none);
+    table.apply_late();
+    CHECK(run(repeated, table) == submission_result(submission_accepted{1}));
+}
+
 TEST_CASE("a transport that sends the transaction twice does not turn acceptance into a conflict")
 {
     fake_table table;
