Control: Decide lease, orders and capacity

The lease counts from before the write was sent and is adopted only after the row was read back, so a lost answer and a late write are the same case: the row says which write took effect. Taking the version from the commit's answer was weighed; it saves one read for each renewal, but an earlier write of unknown outcome may have come first. A process that finds its own expired row unchanged renews it with the same token, because the condition on the version shows that nobody took over. A released lease keeps its row, so the token never falls.

The planner searches the largest loss of one failure domain for the cheapest mix of reclaimable instances that survives it; on-demand instances fill in only where no such mix exists.

--- /dev/null
+++ b/Libraries/control/src/lease_holder.cpp
@@ -0,0 +1,196 @@
+#include "siskinwharf/control/lease_holder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace siskinwharf::control {
+
+namespace {
+
+// A write whose answer was lost may take effect later. Those of the last minute are remembered; older ones
+// could only grant a lease that has run out already.
+constexpr std::size_t remembered_writes = 64;
+
+} // namespace
+
+lease_holder::lease_holder(const failure_domain_id& domain, std::string holder,
+                           const lease_settings& settings)
+    : m_key("lease/" + domain.value()), m_holder(std::move(holder)), m_settings(settings)
+{
+}
+
+lease_action lease_holder::next(monotonic_time now)
+{
+    if (m_busy || now < m_wake_at)
+        return lease_idle{m_wake_at};
+    if (m_must_read)
+        return read(now);
+    return holds() ? next_as_holder(now) : next_as_observer(now);
+}
+
+lease_action lease_holder::next_as_holder(monotonic_time now)
+{
+    if (m_releasing)
+        return write({"", m_fencing, 0}, now);
+    if (now < m_renew_at) {
+        m_wake_at = m_renew_at;
+        return lease_idle{m_wake_at};
+    }
+    // Also after the lease has run out: the condition on the row's version holds only if nobody took over.
+    return write({m_holder, m_fencing, 0}, now);
+}
+
+lease_action lease_holder::next_as_observer(monotonic_time now)
+{
+    if (m_releasing || !m_row) {
+        m_wake_at = now + m_settings.poll_every;
+        return lease_idle{m_wake_at};
+    }
+    const auto takeover_at = m_row->unchanged_since + takeover_wait(*m_row);
+    if (now >= takeover_at)
+        return write({m_holder, m_row->record.fencing + 1, 0}, now);
+    return read(now);
+}
+
+lease_action lease_holder::read(monotonic_time now)
+{
+    m_busy = true;
+    m_wake_at = now;
+    return lease_read{m_key};
+}
+
+lease_action lease_holder::write(lease_record record, monotonic_time now)
+{
+    record.attempt = ++m_last_attempt;
+    if (!record.holder.empty())
+        m_sent[record.attempt] = now;
+    if (m_sent.size() > remembered_writes)
+        m_sent.erase(m_sent.begin());
+    m_busy = true;
+    platform::write_condition condition = platform::require_absent{};
+    if (m_row && m_row->version > 0)
+        condition = platform::require_version{m_row->version};
+    return lease_commit{{{{m_key, encode(record), condition}}}};
+}
+
+void lease_holder::read_done(const platform::read_result& result, monotonic_time now)
+{
+    m_busy = false;
+    const auto* row = std::get_if<std::optional<platform::table_row>>(&result);
+    m_table_available = row != nullptr;
+    if (row == nullptr) {
+        m_wake_at = now + m_settings.retry_after;
+        return;
+    }
+    m_must_read = false;
+    observe(*row, now);
+}
+
+void lease_holder::commit_done(const platform::commit_result& result, monotonic_time now)
+{
+    m_busy = false;
+    m_table_available = !std::holds_alternative<platform::table_unavailable>(result) &&
+                        !std::holds_alternative<platform::table_uncertain>(result);
+    if (std::holds_alternative<platform::table_unavailable>(result)) {
+        m_sent.erase(m_last_attempt);
+        m_wake_at = now + m_settings.retry_after;
+        return;
+    }
+    // The row is read back after a lost answer, and after a success for its version, which this process must
+    // not guess: another write of its own with an unknown outcome may have come first.
+    m_must_read = true;
+    if (const auto* conflict = std::get_if<platform::table_conflict>(&result);
+        conflict != nullptr && !conflict->rows.empty()) {
+        m_must_read = false;
+        observe(conflict->rows.front().current, now);
+    }
+}
+
+void lease_holder::observe(const std::optional<platform::table_row>& row, monotonic_time now)
+{
+    m_wake_at = now;
+    observed_row seen{0, {}, now};
+    if (row) {
+        seen.version = row->version;
+        // An undecodable record has an unknown holder. Its token is replaced by the row's version, which is
+        // at least as high as any token written so far.
+        seen.record = decode_lease_record(row->value).value_or(lease_record{"undecodable", row->version, 0});
+    }
+    const bool changed = !m_row || m_row->version != seen.version;
+    if (!changed)
+        seen.unchanged_since = m_row->unchanged_since;
+    m_row = seen;
+    if (seen.record.holder == m_holder) {
+        adopt(seen);
+        return;
+    }
+    become_observer();
+    const auto takeover_at = seen.unchanged_since + takeover_wait(seen);
+    m_wake_at = std::max(now, std::min(now + m_settings.poll_every, takeover_at));
+}
+
+void lease_holder::adopt(const observed_row& row)
+{
+    m_holding = true;
+    m_fencing = row.record.fencing;
+    const auto sent = m_sent.find(row.record.attempt);
+    if (sent == m_sent.end())
+        return;
+    m_valid_until = std::max(m_valid_until, sent->second + m_settings.duration);
+    m_renew_at = sent->second + m_settings.renew_after;
+    m_sent.erase(m_sent.begin(), std::next(sent));
+}
+
+void lease_holder::become_observer()
+{
+    m_holding = false;
+    m_valid_until = monotonic_time{};
+}
+
+void lease_holder::stale_token_seen(std::uint64_t newer_token)
+{
+    if (!holds() || newer_token <= m_fencing)
+        return;
+    become_observer();
+    m_must_read = true;
+    m_wake_at = monotonic_time{};
+}
+
+void lease_holder::release()
+{
+    m_releasing = true;
+    m_wake_at = monotonic_time{};
+}
+
+nanoseconds lease_holder::takeover_wait(const observed_row& row) const
+{
+    if (row.version == 0)
+        return nanoseconds(0);
+    // After a release no new order is sent, but the last one may still be on its way.
+    const auto wait = row.record.holder.empty() ? m_settings.longest_order_delay
+                                                : m_settings.duration + m_settings.longest_order_delay;
+    const auto drift = static_cast<double>(wait.count()) * m_settings.clock_drift;
+    return wait + nanoseconds(static_cast<std::int64_t>(drift));
+}
+
+order_permission lease_holder::permission(monotonic_time now, nanoseconds time_needed) const
+{
+    if (!holds() || m_releasing)
+        return order_permission::not_holder;
+    if (now >= m_valid_until)
+        return order_permission::expired;
+    if (!m_table_available)
+        return order_permission::table_unavailable;
+    if (now + time_needed >= m_valid_until)
+        return order_permission::too_little_time;
+    return order_permission::permitted;
+}
+
+std::optional<std::uint64_t> lease_holder::fencing() const
+{
+    if (!holds())
+        return std::nullopt;
+    return m_fencing;
+}
+
+} // namespace siskinwharf::control
--- /dev/null
+++ b/Libraries/control/tests/capacity_planner_test.cpp
@@ -0,0 +1,142 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "siskinwharf/control/capacity_planner.h"
+
+namespace siskinwharf::control {
+
+namespace {
+
+const monotonic_time start(seconds(1000));
+
+/// Two classes, reclaimable at 3 and 4 and on demand at 10 cents an hour, in each failure domain.
+capacity_situation situation(int domains, std::uint32_t demand)
+{
+    capacity_situation look;
+    look.demand_streams = demand;
+    for (int number = 0; number < domains; ++number) {
+        const failure_domain_id domain("d" + std::to_string(number));
+        look.offers.push_back({{domain, "small", instance_kind::reclaimable}, 3'000'000, 10, 0, 0});
+        look.offers.push_back({{domain, "large", instance_kind::reclaimable}, 8'000'000, 20, 0, 0});
+        look.offers.push_back({{domain, "small", instance_kind::on_demand}, 10'000'000, 10, 0, 0});
+        look.budgets.push_back({domain, 1'000'000'000});
+    }
+    return look;
+}
+
+/// Puts the planned counts into effect.
+void execute(capacity_situation& look, const capacity_plan& plan)
+{
+    for (const auto& order : plan.orders) {
+        for (auto& offer : look.offers) {
+            if (offer.key == order.key)
+                offer.running = order.count;
+        }
+    }
+}
+
+std::uint32_t running(const capacity_situation& look, instance_kind kind, const std::string& machine_class)
+{
+    std::uint32_t sum = 0;
+    for (const auto& offer : look.offers) {
+        if (offer.key.kind == kind && offer.key.machine_class == machine_class)
+            sum += offer.running;
+    }
+    return sum;
+}
+
+} // namespace
+
+TEST_CASE("refused starts try the next class, then the next failure domain, on-demand only at risk")
+{
+    struct refusal_case {
+        const char* description;
+        std::vector<std::size_t> refused; ///< Offers.
+        std::uint32_t small;
+        std::uint32_t large;
+        std::uint32_t on_demand;
+    };
+    // 100 streams with a margin of 5 in three domains: 53 in each and any two of them carry 105.
+    const refusal_case cases[] = {
+        {"none", {}, 17, 0, 0},
+        {"one class in one domain", {0}, 11, 3, 0},
+        {"one whole domain", {0, 1}, 22, 0, 0},
+        {"all reclaimable", {0, 1, 3, 4, 6, 7}, 0, 0, 11},
+    };
+    for (const auto& fault : cases) {
+        INFO(fault.description);
+        auto look = situation(3, 100);
+        capacity_planner planner({});
+        for (const auto offer : fault.refused)
+            planner.start_refused(look.offers[offer].key, start);
+        const auto plan = planner.plan(look, start + seconds(1));
+        execute(look, plan);
+        CHECK(running(look, instance_kind::reclaimable, "small") == fault.small);
+        CHECK(running(look, instance_kind::reclaimable, "large") == fault.large);
+        CHECK(running(look, instance_kind::on_demand, "small") == fault.on_demand);
+        CHECK(plan.at_risk == (fault.on_demand > 0));
+        CHECK(plan.surviving_streams >= 105);
+    }
+}
+
+TEST_CASE("a refused offer is tried again after a back-off that doubles")
+{
+    auto look = situation(1, 10);
+    look.offers.resize(1);
+    const auto key = look.offers[0].key;
+    capacity_planner planner({});
+    planner.start_refused(key, start);
+    planner.start_refused(key, start + seconds(1)); // Of the same order.
+    CHECK(planner.plan(look, start + seconds(59)).orders.empty());
+    CHECK(planner.plan(look, start + seconds(60)).orders.size() == 1);
+    planner.start_refused(key, start + seconds(60));
+    CHECK(planner.plan(look, start + seconds(179)).orders.empty());
+    CHECK(planner.plan(look, start + seconds(180)).orders.size() == 1);
+}
+
+TEST_CASE("a short dip of the demand stops nothing")
+{
+    auto look = situation(3, 100);
+    capacity_planner planner({});
+    execute(look, planner.plan(look, start));
+    look.demand_streams = 50;
+    CHECK(planner.plan(look, start + seconds(60)).orders.empty());
+    look.demand_streams = 100;
+    CHECK(planner.plan(look, start + seconds(120)).orders.empty());
+    look.demand_streams = 50;
+    CHECK(planner.plan(look, start + seconds(900)).orders.empty());
+    CHECK_FALSE(planner.plan(look, start + seconds(1800)).orders.empty());
+}
+
+TEST_CASE("property: budgets and the weight store's rate hold, and the loss of a domain is survived")
+{
+    CHECK(rc::check([] {
+        auto look = situation(*rc::gen::inRange(2, 6), *rc::gen::inRange<std::uint32_t>(1, 400));
+        const bool poor = *rc::gen::arbitrary<bool>();
+        for (auto& budget : look.budgets)
+            budget.microcents_per_hour = poor ? 20'000'000 : 10'000'000'000;
+        capacity_planner planner({});
+        for (int refusals = *rc::gen::inRange(0, 6); refusals > 0; --refusals)
+            planner.start_refused(look.offers[*rc::gen::inRange<std::size_t>(0, look.offers.size())].key,
+                                  start);
+        std::uint32_t before = 0;
+        capacity_plan plan;
+        for (int minute = 0; minute < 8; ++minute) {
+            plan = planner.plan(look, start + seconds(minute * 60));
+            execute(look, plan);
+            std::uint32_t total = 0;
+            std::map<std::string, std::uint64_t> spend;
+            for (const auto& offer : look.offers) {
+                total += offer.running;
+                spend[offer.key.domain.value()] += offer.running * offer.microcents_per_hour;
+            }
+            RC_ASSERT(total <= before + 40);
+            before = total;
+            for (const auto& [domain, microcents] : spend)
+                RC_ASSERT(microcents <= look.budgets[0].microcents_per_hour);
+        }
+        RC_ASSERT(poor || plan.surviving_streams >= look.demand_streams);
+    }));
+}
+
+} // namespace siskinwharf::control
--- /dev/null
+++ b/Libraries/control/tests/lease_test.cpp
@@ -0,0 +1,312 @@
+#include <array>
+#include <deque>
+#include <random>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include "siskinwharf/control/lease_holder.h"
+#include "siskinwharf/control/order_planner.h"
+
+namespace siskinwharf::control {
+
+namespace {
+
+const failure_domain_id domain("a1");
+const monotonic_time start(seconds(1000));
+
+/// What happens to a table operation.
+enum class fate { answered, lost_after, lost_before, lost_applied_later, unavailable };
+
+/// One table row with the conditions of the table service.
+class fake_table {
+public:
+    platform::read_result read(fate what) const
+    {
+        if (what != fate::answered)
+            return platform::table_unavailable{};
+        return m_row;
+    }
+    platform::commit_result commit(const lease_commit& write, fate what)
+    {
+        if (what == fate::unavailable)
+            return platform::table_unavailable{};
+        if (what == fate::lost_applied_later)
+            m_later.push_back(write);
+        else if (what != fate::lost_before && !apply(write) && what == fate::answered)
+            return platform::table_conflict{{{0, m_row}}};
+        if (what == fate::answered)
+            return platform::table_committed{};
+        return platform::table_uncertain{};
+    }
+    void apply_later_write()
+    {
+        if (m_later.empty())
+            return;
+        apply(m_later.front());
+        m_later.pop_front();
+    }
+    [[nodiscard]] const std::optional<platform::table_row>& row() const { return m_row; }
+
+private:
+    bool apply(const lease_commit& write)
+    {
+        const auto& change = write.transaction.writes.at(0);
+        const auto* version = std::get_if<platform::require_version>(&change.condition);
+        if (version != nullptr ? !m_row || m_row->version != version->version : m_row.has_value())
+            return false;
+        m_row = platform::table_row{change.key, *change.value, m_row ? m_row->version + 1 : 1};
+        return true;
+    }
+
+    std::optional<platform::table_row> m_row;
+    std::deque<lease_commit> m_later;
+};
+
+/// Executes table operations until the holder has nothing to do.
+void run(lease_holder& holder, fake_table& table, monotonic_time now, fate what = fate::answered)
+{
+    for (int step = 0; step < 8; ++step) {
+        const auto action = holder.next(now);
+        if (const auto* write = std::get_if<lease_commit>(&action))
+            holder.commit_done(table.commit(*write, what), now);
+        else if (std::holds_alternative<lease_read>(action))
+            holder.read_done(table.read(what), now);
+        else
+            return;
+    }
+}
+
+/// One process of the random run. Its answers may arrive late, and its clock runs at its own rate.
+struct process {
+    lease_holder holder;
+    std::int64_t rate_per_mille;
+    std::optional<std::variant<platform::read_result, platform::commit_result>> answer;
+    nanoseconds answer_at{0};
+    nanoseconds permitted_until{0}; ///< True time.
+
+    [[nodiscard]] monotonic_time clock(nanoseconds time) const
+    {
+        return start + time * rate_per_mille / 1000;
+    }
+};
+
+void act(process& one, fake_table& table, nanoseconds time, std::mt19937_64& random)
+{
+    const auto now = one.clock(time);
+    if (one.answer) {
+        if (time < one.answer_at)
+            return;
+        const auto answer = *std::exchange(one.answer, std::nullopt);
+        if (const auto* done = std::get_if<platform::commit_result>(&answer))
+            one.holder.commit_done(*done, now);
+        else
+            one.holder.read_done(std::get<platform::read_result>(answer), now);
+    }
+    const auto action = one.holder.next(now);
+    const auto what = random() % 3 != 0 ? fate::answered : static_cast<fate>(random() % 5);
+    one.answer_at = time + milliseconds(random() % 8 == 0 ? random() % 20'000 : random() % 50);
+    if (const auto* write = std::get_if<lease_commit>(&action))
+        one.answer = table.commit(*write, what);
+    else if (std::holds_alternative<lease_read>(action))
+        one.answer = table.read(what);
+}
+
+} // namespace
+
+TEST_CASE("property: two processes never may give orders at a time, and tokens rise with each holder")
+{
+    CHECK(rc::check([] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        std::mt19937_64 random(seed);
+        fake_table table;
+        std::vector<process> processes;
+        for (const std::int64_t rate : {997, 1000, 1003})
+            processes.push_back({lease_holder(domain, "p" + std::to_string(rate), {}), rate, {}, {}, {}});
+        nanoseconds time{0};
+        std::uint64_t highest_token = 0;
+        for (int step = 0; step < 3000; ++step) {
+            time += milliseconds(random() % 400);
+            auto& acting = processes[random() % processes.size()];
+            act(acting, table, time, random);
+            if (random() % 16 == 0)
+                table.apply_later_write();
+            if (acting.holder.permission(acting.clock(time), nanoseconds(0)) != order_permission::permitted)
+                continue;
+            RC_ASSERT(*acting.holder.fencing() >= highest_token);
+            highest_token = *acting.holder.fencing();
+            for (auto& other : processes) {
+                if (&other == &acting)
+                    continue;
+                RC_ASSERT(other.holder.permission(other.clock(time), nanoseconds(0)) !=
+                          order_permission::permitted);
+                // The last order of the other one was sent before its lease ended and has arrived.
+                RC_ASSERT(other.permitted_until == nanoseconds(0) ||
+                          time >= other.permitted_until + seconds(5));
+            }
+            const auto left = acting.holder.valid_until() - acting.clock(time);
+            acting.permitted_until = time + left * 1000 / acting.rate_per_mille;
+        }
+        RC_ASSERT(highest_token > 0);
+    }));
+}
+
+TEST_CASE("a lost answer is read back, and its lease counts from before the write was sent")
+{
+    struct lost_answer {
+        fate what;
+        order_permission after;
+    };
+    const lost_answer cases[] = {
+        {fate::answered, order_permission::permitted},
+        {fate::lost_after, order_permission::permitted},
+        {fate::lost_before, order_permission::permitted}, // Written again.
+        {fate::unavailable, order_permission::permitted}, // Written again.
+    };
+    for (const auto& fault : cases) {
+        INFO(static_cast<int>(fault.what));
+        fake_table table;
+        lease_holder holder(domain, "p", {});
+        holder.read_done(table.read(fate::answered), start);
+        const auto write = std::get<lease_commit>(holder.next(start));
+        holder.commit_done(table.commit(write, fault.what), start + seconds(1));
+        CHECK(holder.permission(start + seconds(1), seconds(1)) == order_permission::not_holder);
+        run(holder, table, start + seconds(2));
+        CHECK(holder.permission(start + seconds(2), seconds(1)) == fault.after);
+        CHECK(holder.fencing() == 1);
+        const bool first_write = fault.what == fate::answered || fault.what == fate::lost_after;
+        CHECK(holder.valid_until() == start + seconds(first_write ? 10 : 12));
+    }
+}
+
+TEST_CASE("a holder that was paused past its lease gives no orders until it holds the lease again")
+{
+    fake_table table;
+    lease_holder paused(domain, "p", {});
+    lease_holder other(domain, "o", {});
+    run(paused, table, start);
+    run(other, table, start + milliseconds(1));
+    CHECK(paused.permission(start + milliseconds(9500), seconds(1)) == order_permission::too_little_time);
+    CHECK(paused.permission(start + seconds(30), seconds(1)) == order_permission::expired);
+    // 10 s lease + 5 s order delay + 1% drift after the row was first seen.
+    run(other, table, start + milliseconds(15'140));
+    CHECK_FALSE(other.fencing());
+    run(other, table, start + milliseconds(15'152));
+    CHECK(other.fencing() == 2);
+    run(paused, table, start + milliseconds(15'200));
+    CHECK(paused.permission(start + milliseconds(15'200), seconds(1)) == order_permission::not_holder);
+}
+
+TEST_CASE("a released lease is taken over after the longest order delay")
+{
+    fake_table table;
+    lease_holder first(domain, "p", {});
+    lease_holder second(domain, "o", {});
+    run(first, table, start);
+    first.release();
+    CHECK(first.permission(start, seconds(1)) == order_permission::not_holder);
+    run(first, table, start + seconds(1));
+    run(second, table, start + seconds(2));
+    run(second, table, start + seconds(7));
+    CHECK_FALSE(second.fencing());
+    run(second, table, start + milliseconds(7'051));
+    CHECK(second.fencing() == 2);
+}
+
+TEST_CASE("an unreadable lease row does not let the token fall")
+{
+    CHECK_FALSE(decode_lease_record("7 "));
+    CHECK_FALSE(decode_lease_record("x 1 p"));
+    CHECK(decode_lease_record(encode({"p q", 7, 3})) == lease_record{"p q", 7, 3});
+    lease_holder holder(domain, "p", {});
+    static_cast<void>(holder.next(start));
+    holder.read_done(platform::table_row{"lease/a1", "garbage", 9}, start);
+    const auto write = std::get<lease_commit>(holder.next(start + seconds(16)));
+    CHECK(decode_lease_record(*write.transaction.writes[0].value)->fencing == 10);
+}
+
+namespace {
+
+struct order_fault {
+    const char* description;
+    sheet::fencing_support support;
+    std::array<int, 3> answers; ///< 0 accepted, 1 refused, 2 lost before, 3 lost after it took effect.
+    bool stale_order;           ///< A delayed order of an earlier holder arrives once all is in force.
+    std::uint64_t corrections;
+};
+
+} // namespace
+
+TEST_CASE("orders reach the wanted configuration through faults, and a stale order is corrected")
+{
+    constexpr auto checked = sheet::fencing_support::checked;
+    constexpr auto ignored = sheet::fencing_support::ignored;
+    const order_fault cases[] = {
+        {"no fault", checked, {0, 0, 0}, false, 0},
+        {"refused twice", checked, {1, 1, 0}, false, 0},
+        {"lost before and after it took effect", checked, {2, 3, 0}, false, 0},
+        {"stale order, token checked", checked, {0, 0, 0}, true, 0},
+        {"stale order, token ignored", ignored, {0, 0, 0}, true, 1},
+    };
+    const endpoint_id endpoint("e");
+    const endpoint_configuration wanted{model_id("dough-7b"), "4", {}, "serve"};
+    const endpoint_configuration earlier{model_id("dough-7b"), "3", {}, "serve"};
+    for (const auto& fault : cases) {
+        INFO(fault.description);
+        fake_table table;
+        lease_holder lease(domain, "p", {});
+        order_planner planner({});
+        planner.want(endpoint, wanted, fault.support);
+        CHECK(planner.plan(lease, start).empty());
+        endpoint_configuration actual = earlier;
+        std::size_t sent = 0;
+        bool stale_pending = fault.stale_order;
+        for (int second = 0; second < 120; ++second) {
+            const auto now = start + seconds(second);
+            run(lease, table, now);
+            for (const auto& action : planner.plan(lease, now)) {
+                if (std::holds_alternative<read_back>(action)) {
+                    planner.observed(endpoint, actual, now);
+                    continue;
+                }
+                const auto& order = std::get<send_order>(action);
+                CHECK(order.fencing == 1);
+                const int answer = fault.answers.at(sent++);
+                if (answer == 0 || answer == 3)
+                    actual = order.wanted;
+                const order_result results[] = {order_accepted{}, order_refused{}, order_uncertain{},
+                                                order_uncertain{}};
+                planner.order_done(endpoint, results[answer], lease, now);
+            }
+            if (stale_pending && planner.in_force(endpoint) && second > 10) {
+                stale_pending = false;
+                if (fault.support == ignored)
+                    actual = earlier;
+            }
+        }
+        CHECK(actual == wanted);
+        CHECK(planner.in_force(endpoint));
+        CHECK(planner.corrections() == fault.corrections);
+    }
+}
+
+TEST_CASE("no order is planned while the table is unavailable or after a stale token was seen")
+{
+    fake_table table;
+    lease_holder lease(domain, "p", {});
+    order_planner planner({});
+    const endpoint_id endpoint("e");
+    planner.want(endpoint, {model_id("m"), "1", {}, ""}, sheet::fencing_support::checked);
+    run(lease, table, start);
+    run(lease, table, start + seconds(3), fate::unavailable);
+    CHECK(planner.plan(lease, start + seconds(3)).empty());
+    run(lease, table, start + seconds(5));
+    CHECK(planner.plan(lease, start + seconds(5)).size() == 1);
+    planner.observed(endpoint, endpoint_configuration{}, start + seconds(5));
+    CHECK(std::holds_alternative<send_order>(planner.plan(lease, start + seconds(5)).at(0)));
+    planner.order_done(endpoint, order_refused_stale{7}, lease, start + seconds(5));
+    CHECK(lease.permission(start + seconds(5), seconds(1)) == order_permission::not_holder);
+    CHECK(planner.plan(lease, start + seconds(6)).empty());
+}
+
+} // namespace siskinwharf::control
