--- a/Tests/standins/common/answer_check.cpp
+++ b/Tests/standins/common/answer_check.cpp
@@ -40,6 +40,16 @@
     return tokens;
 }
 
+bool answer_check::accept(std::string_view token)
+{
+    if (m_wrong || m_accepted == m_count || token != answer_token(m_prompt, m_accepted)) {
+        m_wrong = true;
+        return false;
+    }
+    ++m_accepted;
+    return true;
+}
+
 std::vector<std::uint64_t> block_hashes(std::string_view model, std::string_view version,
                                         const std::vector<std::string>& tokens)
 {
--- a/Tests/standins/engine/batch_scheduler.cpp
+++ b/Tests/standins/engine/batch_scheduler.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Keeps the time of a step finite, in tokens per second.
+constexpr double lowest_prefill_rate = 0.001;
+
 bool served_before(const std::shared_ptr<engine_stream>& left, const std::shared_ptr<engine_stream>& right)
 {
     return left->priority != right->priority ? left->priority > right->priority
@@ -85,8 +88,8 @@
         prefilled += share;
         m_step_prefills.emplace_back(stream, share);
     }
-    double milliseconds_taken =
-        static_cast<double>(prefilled) * 1000.0 / std::max(m_options.prefill_tokens_per_second, 1.0);
+    double milliseconds_taken = static_cast<double>(prefilled) * 1000.0 /
+                                std::max(m_options.prefill_tokens_per_second, lowest_prefill_rate);
     if (!m_step_decodes.empty()) {
         const auto further = static_cast<double>(m_step_decodes.size() - 1);
         milliseconds_taken += m_options.decode_ms_per_token * (1.0 + m_options.batch_slowdown * further);
@@ -117,6 +120,7 @@
     for (const auto& stream : m_step_decodes) {
         if (stream->phase != stream_phase::decode)
             continue;
+        result.advanced.push_back(stream);
         if (stream->answer.size() < stream->max_tokens) {
             stream->answer.push_back(answer_token(stream->prompt, stream->answer.size()));
             ++result.decoded;
@@ -132,6 +136,7 @@
         const auto changes = m_cache.store(block_hashes(stream->model, stream->version, tokens));
         result.cache_changes.insert(result.cache_changes.end(), changes.begin(), changes.end());
         remove(*stream);
+        stream->context.clear();
     }
     m_counters.decoded += result.decoded;
     return result;
--- a/Tests/standins/engine/batch_scheduler.h
+++ b/Tests/standins/engine/batch_scheduler.h
@@ -23,6 +23,7 @@
 /// What one step did.
 struct step_result {
     std::vector<std::shared_ptr<engine_stream>> finished_prefill;
+    std::vector<std::shared_ptr<engine_stream>> advanced; ///< Those with a new token or an end.
     std::vector<std::shared_ptr<engine_stream>> finished;
     std::vector<cache_change> cache_changes;
     std::uint64_t decoded = 0;
--- a/Tests/standins/engine/engine.cpp
+++ b/Tests/standins/engine/engine.cpp
@@ -384,10 +384,8 @@
         m_finished += result.finished.size();
         for (const stream_pointer& stream : result.finished_prefill)
             check_crash(*stream);
-        for (const auto& [id, stream] : m_streams) {
-            if (stream->phase == stream_phase::decode || stream->phase == stream_phase::done)
-                stream->changed.notify_all();
-        }
+        for (const stream_pointer& stream : result.advanced)
+            stream->changed.notify_all();
         record_load(result.decoded);
     }
 }
--- a/Tests/standins/platform/platform_service.cpp
+++ b/Tests/standins/platform/platform_service.cpp
@@ -63,6 +63,7 @@
         co_return false;
     }
     if (mode == "hang") {
+        ++m_counts[part + "_hanging"];
         while (m_modes[part] == "hang" && !exchange.closed())
             co_await m_faults_changed.wait();
         exchange.drop();
