--- a/Tests/standins/platform/cloud_service.cpp
+++ b/Tests/standins/platform/cloud_service.cpp
@@ -118,12 +118,14 @@
 
 json::object cloud_service::describe(const instance& entry, monotonic_time now)
 {
+    const auto billed = std::chrono::duration_cast<milliseconds>(std::min(entry.ends, now) - entry.running);
     return {{"id", entry.id},
             {"class", entry.offer.machine_class},
             {"failure_domain", entry.offer.failure_domain},
             {"kind", entry.offer.kind},
             {"client_token", entry.client_token},
             {"price_microcents_per_second", entry.offer.price_microcents_per_second},
+            {"billed_ms", std::max<std::int64_t>(billed.count(), 0)},
             {"state", state_of(entry, now)}};
 }
 
@@ -140,7 +142,15 @@
     const auto found = m_instances.find(id);
     if (found == m_instances.end())
         return false;
-    found->second.ends = std::min(found->second.ends, now);
+    instance& stopped = found->second;
+    if (stopped.ends <= now)
+        return true;
+    stopped.ends = now;
+    for (cloud_offer& offer : m_offers) {
+        if (offer.machine_class == stopped.offer.machine_class && offer.kind == stopped.offer.kind &&
+            offer.failure_domain == stopped.offer.failure_domain)
+            ++offer.available;
+    }
     return true;
 }
 
--- a/Tests/standins/tests/engine_contract_test.cpp
+++ b/Tests/standins/tests/engine_contract_test.cpp
@@ -292,6 +292,38 @@
     CHECK(engine.crashed() == example.crashes);
 }
 
+TEST_CASE("time faults take at least the time that they state")
+{
+    struct time_case {
+        const char* fault;
+        milliseconds least;
+    };
+    const auto example = GENERATE(time_case{R"({"freeze_ms":60})", milliseconds(60)},
+                                  time_case{R"({"slow_factor":100})", milliseconds(50)});
+    CAPTURE(example.fault);
+    const running_engine engine;
+    test_client client(engine.port());
+    const auto start = std::chrono::steady_clock::now();
+    client.request("POST", "/faults", example.fault);
+    CHECK(client.request("POST", "/streams", stream_body("s", "a", 5)).status == 200);
+    CHECK(std::chrono::steady_clock::now() - start >= example.least);
+}
+
+TEST_CASE("an export takes time by its size")
+{
+    engine_options options = slow_decode_options();
+    options.kv_bytes_per_token = 10'000;
+    options.kv_megabytes_per_second = 10;
+    const running_engine engine(options);
+    test_client reader(engine.port());
+    REQUIRE(reader.open("POST", "/streams", stream_body("s", "a b c", long_answer)) == 200);
+    check_tokens(reader, "a b c", 0, 5);
+    const json::object body = test_client(engine.port()).request("POST", "/streams/s/export").json();
+    // 10,000 bytes at 10 MB/s are 1 ms for each token.
+    CHECK(integer_member(body, "tokens") >= 8);
+    CHECK(integer_member(body, "export_ms") == integer_member(body, "tokens"));
+}
+
 TEST_CASE("a leaving engine exits at its time")
 {
     const running_engine engine;
--- a/Tests/standins/tests/platform_parts_test.cpp
+++ b/Tests/standins/tests/platform_parts_test.cpp
@@ -123,6 +123,28 @@
     CHECK(second->at("state") == "running");
 }
 
+TEST_CASE("an offer that is used up is available again after a stop, and time is billed up to the stop")
+{
+    cloud_service cloud(platform_options{});
+    cloud.replace_offers(
+        parse_object(R"({"offers":[{"class":"c","failure_domain":"d","kind":"on_demand","available":1}]})"));
+    const auto start = [&cloud](const std::string& token) {
+        const std::string body =
+            R"({"class":"c","failure_domain":"d","kind":"on_demand","client_token":")" + token + R"("})";
+        return cloud.start(parse_object(body), false, start_time);
+    };
+    const auto first = start("a");
+    REQUIRE(first);
+    CHECK_FALSE(start("b"));
+    CHECK(cloud.stop(std::string(first->at("id").as_string()), start_time + seconds(10)));
+    CHECK(start("b"));
+    const auto instances = cloud.describe_instances(start_time + seconds(20)).at("instances").as_array();
+    CHECK(instances.at(0).at("billed_ms") == 7000);
+    CHECK(instances.at(1).at("billed_ms") == 17'000);
+    cloud.refuse_domains({"d"});
+    CHECK_FALSE(start("c"));
+}
+
 TEST_CASE("a reclaim of a failure domain announces and ends its reclaimable instances only")
 {
     cloud_service cloud(platform_options{});
