--- a/Tests/standins/tests/engine_parts_test.cpp
+++ b/Tests/standins/tests/engine_parts_test.cpp
@@ -263,7 +263,7 @@
         text += lines.add(offset, "t", example.faults);
     text += lines.flush();
     std::string offsets;
-    for (std::size_t found = text.find(':'); found != std::string::npos; found = text.find(":", found + 1)) {
+    for (std::size_t found = text.find(':'); found != std::string::npos; found = text.find(':', found + 1)) {
         if (text[found + 1] != '"')
             offsets += text[found + 1];
     }
