--- a/Libraries/claims/src/claim_cleanup.cpp
+++ b/Libraries/claims/src/claim_cleanup.cpp
@@ -18,13 +18,13 @@
 std::vector<cleanup_write> claim_cleanup::due(monotonic_time now, std::size_t maximum)
 {
     std::vector<cleanup_write> writes;
-    for (auto& [attempt, entry] : m_entries) {
+    for (auto& [attempt, pending] : m_entries) {
         if (writes.size() == maximum)
             break;
-        if (entry.out || entry.next_try > now)
+        if (pending.out || pending.next_try > now)
             continue;
-        entry.out = true;
-        const auto& obligation = entry.obligation;
+        pending.out = true;
+        const auto& obligation = pending.obligation;
         writes.push_back(
             {attempt, {obligation.row_key, encode_claim_row(obligation.row), obligation.condition}});
     }
@@ -37,23 +37,23 @@
     const auto found = m_entries.find(attempt);
     if (found == m_entries.end() || !found->second.out)
         return;
-    entry& entry = found->second;
-    entry.out = false;
+    entry& pending = found->second;
+    pending.out = false;
     if (std::holds_alternative<platform::table_committed>(result)) {
         m_entries.erase(found);
         return;
     }
     if (const auto* conflict = std::get_if<platform::table_conflict>(&result)) {
         const auto current = conflict->rows.empty() ? std::nullopt : conflict->rows.front().current;
-        if (check_final_write(entry.obligation, current) != final_write_check::retry) {
+        if (check_final_write(pending.obligation, current) != final_write_check::retry) {
             m_entries.erase(found);
             return;
         }
-        entry.next_try = now;
+        pending.next_try = now;
         return;
     }
-    entry.delay = std::min(entry.delay * 2, m_limits.maximum_delay);
-    entry.next_try = now + entry.delay;
+    pending.delay = std::min(pending.delay * 2, m_limits.maximum_delay);
+    pending.next_try = now + pending.delay;
 }
 
 std::optional<holder_reply> claim_cleanup::reply_to_peer(attempt_number attempt) const
