--- /dev/null
+++ b/Libraries/admission/src/admission_control.cpp
@@ -0,0 +1,55 @@
+#include "siskinwharf/admission/admission_control.h"
+
+#include <algorithm>
+
+namespace siskinwharf::admission {
+
+std::string_view to_string(admission_reason reason)
+{
+    switch (reason) {
+    case admission_reason::deadline:
+        return "deadline";
+    case admission_reason::first_token:
+        return "first_token";
+    case admission_reason::unattainable:
+        return "unattainable";
+    case admission_reason::account_limit:
+        return "account_limit";
+    }
+    return "deadline";
+}
+
+admission_decision admission_control::decide(const admission_request& request,
+                                             const admission_estimate& estimate, bool over_limit,
+                                             double jitter, monotonic_time now) const
+{
+    const nanoseconds available = request.deadline - now;
+    const nanoseconds first_token = with_margin(estimate.prefill);
+    const nanoseconds whole = with_margin(estimate.prefill + estimate.decode);
+    if (first_token > request.first_token_target || whole > available)
+        return not_admitted{outcome::not_run, admission_reason::unattainable, std::nullopt};
+    const nanoseconds wait = with_margin(estimate.queue_wait);
+    if (over_limit)
+        return refuse(admission_reason::account_limit, wait, jitter);
+    if (wait + first_token > request.first_token_target)
+        return refuse(admission_reason::first_token, wait + first_token - request.first_token_target, jitter);
+    if (wait + whole > available)
+        return refuse(admission_reason::deadline, wait + whole - available, jitter);
+    return admitted{};
+}
+
+nanoseconds admission_control::with_margin(nanoseconds estimate) const
+{
+    return estimate + estimate * m_limits.margin_percent / 100;
+}
+
+not_admitted admission_control::refuse(admission_reason reason, nanoseconds excess, double jitter) const
+{
+    // The excess is the part of the queue that must drain before the same request would be admitted.
+    const auto base =
+        std::clamp(std::chrono::ceil<milliseconds>(excess), m_limits.minimum_retry, m_limits.maximum_retry);
+    const milliseconds spread(static_cast<std::int64_t>(static_cast<double>(base.count()) * jitter / 2));
+    return {outcome::not_run, reason, base + spread};
+}
+
+} // namespace siskinwharf::admission
--- /dev/null
+++ b/Libraries/admission/src/retry_budget.cpp
@@ -0,0 +1,42 @@
+#include "siskinwharf/admission/retry_budget.h"
+
+#include <algorithm>
+
+namespace siskinwharf::admission {
+
+namespace {
+
+static_assert(std::atomic<std::int64_t>::is_always_lock_free);
+
+constexpr std::int64_t one_retry = 100;
+
+} // namespace
+
+retry_budget::retry_budget(retry_limits limits)
+    : m_limits(limits), m_hundredths(std::int64_t{limits.capacity} * one_retry)
+{
+}
+
+void retry_budget::on_first_attempt() noexcept
+{
+    const std::int64_t full = std::int64_t{m_limits.capacity} * one_retry;
+    std::int64_t current = m_hundredths.load(std::memory_order_relaxed);
+    // A full bucket, the usual case, is only read, so that threads do not contend for its cache line.
+    while (current < full) {
+        const std::int64_t next = std::min(full, current + m_limits.percent);
+        if (m_hundredths.compare_exchange_weak(current, next, std::memory_order_relaxed))
+            return;
+    }
+}
+
+bool retry_budget::try_retry() noexcept
+{
+    std::int64_t current = m_hundredths.load(std::memory_order_relaxed);
+    while (current >= one_retry) {
+        if (m_hundredths.compare_exchange_weak(current, current - one_retry, std::memory_order_relaxed))
+            return true;
+    }
+    return false;
+}
+
+} // namespace siskinwharf::admission
