--- a/Tests/standins/engine/engine.cpp
+++ b/Tests/standins/engine/engine.cpp
@@ -21,6 +21,9 @@
 constexpr std::string_view poison_word = "POISON";
 constexpr std::int64_t max_stream_tokens = 1'000'000;
 constexpr milliseconds longest_expiry_check{1000};
+/// A step that ends late by up to this much, because of timers, shortens the next one. A longer pause does
+/// not: an engine does not make up for the time in which it was frozen.
+constexpr milliseconds caught_up_slack{2};
 
 monotonic_time now()
 {
@@ -373,12 +376,18 @@
 
 asio::awaitable<void> engine::run_scheduler()
 {
+    monotonic_time step_end{};
     for (;;) {
-        while (m_scheduler.idle())
+        while (m_scheduler.idle()) {
             co_await m_work.wait();
+            step_end = now();
+        }
         const auto duration = static_cast<double>(m_scheduler.begin_step().count()) * m_slow_factor;
         record_load();
-        co_await sleep_for(nanoseconds(static_cast<std::int64_t>(duration)));
+        step_end =
+            std::max(step_end, now() - caught_up_slack) + nanoseconds(static_cast<std::int64_t>(duration));
+        co_await sleep_for(step_end - now());
+        m_overrun += std::max(now() - step_end, nanoseconds(0));
         const step_result result = m_scheduler.finish_step();
         m_cache_events.append(result.cache_changes, now());
         m_finished += result.finished.size();
@@ -438,6 +447,7 @@
             {"retried_tokens", counters.retried},
             {"imported_tokens", m_imported_tokens},
             {"decoded_tokens", counters.decoded},
+            {"overrun_ms", std::chrono::duration_cast<milliseconds>(m_overrun).count()},
             {"cached_blocks", m_scheduler.cached_blocks()},
             {"in_flight", m_scheduler.in_flight()},
             {"queued", m_scheduler.queued()},
--- a/Tests/standins/engine/engine.h
+++ b/Tests/standins/engine/engine.h
@@ -64,6 +64,7 @@
     notifier m_work;
     std::map<std::string, stream_pointer> m_streams;
     monotonic_time m_export_free{};
+    nanoseconds m_overrun{0}; // Sum of the times by which steps ended late.
     std::uint64_t m_arrivals = 0;
     std::uint64_t m_imported_tokens = 0;
     std::uint64_t m_admitted = 0;
