Membership: Keep every probe message within a datagram

With ids of 64 bytes and IPv6 addresses, the updates about sender and recipient, the frame and an indirect probe's fields add up to 488 B by their encoded sizes; 400 B were kept free of news. A message over the limit is not sent at all, so the probe would be lost.

--- a/Libraries/membership/src/member_table.cpp
+++ b/Libraries/membership/src/member_table.cpp
@@ -15,9 +15,9 @@
 
 namespace {
 
-// Bytes of a datagram that news may fill: the frame's header, HMAC and the message's own fields, with ids of
-// up to 64 bytes, take less than the rest.
-constexpr std::size_t news_budget = peer::datagram_limit - 400;
+// Bytes of a datagram that news may fill: the frame's header, HMAC, the message's own fields and the updates
+// about sender and recipient take less than the rest, with ids of up to 64 bytes and IPv6 addresses.
+constexpr std::size_t news_budget = peer::datagram_limit - 560;
 
 member_change change_to(member_state state)
 {
--- a/Libraries/membership/tests/member_table_test.cpp
+++ b/Libraries/membership/tests/member_table_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include "siskinwharf/peer/frame.h"
 #include "virtual_network.h"
 
 namespace siskinwharf::membership {
@@ -259,6 +260,42 @@
     }
 }
 
+TEST_CASE("every message fits into a datagram when all endpoints leave and all members are suspected")
+{
+    // Ids of 64 bytes and IPv6 addresses are the longest that are planned for.
+    const auto long_id = [](int number) {
+        return std::to_string(1000 + number) + std::string(60, 'x');
+    };
+    const peer::address contact{"2001:0db8:0000:0000:0000:0000:0000:1111", 65535};
+    constexpr std::uint64_t incarnation = 1'796'000'000'000;
+    std::mt19937_64 random(1);
+    member_table table({}, instance_id(long_id(0)), contact, incarnation);
+    peer::gossip news{{}, {}, UINT64_MAX};
+    for (int member = 1; member < 15; ++member)
+        news.members.push_back({instance_id(long_id(member)), contact, member_state::suspected, incarnation});
+    std::vector<peer::endpoint_notice> notices(88, {{}, peer::endpoint_state::leaving, incarnation});
+    for (std::size_t endpoint = 0; endpoint < notices.size(); ++endpoint)
+        notices[endpoint].endpoint = endpoint_id(long_id(static_cast<int>(endpoint)));
+    const auto check = [&](const member_output& output) {
+        for (const auto& message : output.messages) {
+            const peer::frame frame{instance_id(long_id(0)), UINT64_MAX, 0, message.body};
+            const auto encoded = peer::encode(frame, "key", message.recipient, peer::datagram_limit);
+            CHECK((message.how != delivery::datagram || std::holds_alternative<std::string>(encoded)));
+        }
+        return output.messages.size();
+    };
+    std::size_t sent =
+        check(table.receive({}, random, instance_id(long_id(1)), contact, peer::ping{1, news}));
+    sent += check(table.announce({}, notices));
+    const peer::ping_request indirect{UINT64_MAX, instance_id(long_id(2)), contact, {}};
+    monotonic_time now;
+    for (int step = 0; step < 50; ++step, now += member_tick_period) {
+        sent += check(table.tick(now, random));
+        sent += check(table.receive(now, random, instance_id(long_id(1)), contact, indirect));
+    }
+    CHECK(sent > 400);
+}
+
 TEST_CASE("the instance list marks members as leaving, once, and removes none that answers")
 {
     virtual_network network(3, 0, 1);
