Control: Wait past the end of the longest order delay

The model of the lease found that a process which takes over a released lease exactly at the end of the longest order delay may do so while the last order of the previous holder still arrives. The wait is now longer than the delay; the clock drift that is added to it covered the case only while drift is configured above zero.

--- a/Libraries/control/src/lease_holder.cpp
+++ b/Libraries/control/src/lease_holder.cpp
@@ -170,7 +170,8 @@
     const auto wait = row.record.holder.empty() ? m_settings.longest_order_delay
                                                 : m_settings.duration + m_settings.longest_order_delay;
     const auto drift = static_cast<double>(wait.count()) * m_settings.clock_drift;
-    return wait + nanoseconds(static_cast<std::int64_t>(drift));
+    // An order may still arrive at the very end of its longest delay.
+    return wait + nanoseconds(static_cast<std::int64_t>(drift)) + nanoseconds(1);
 }
 
 order_permission lease_holder::permission(monotonic_time now, nanoseconds time_needed) const
