Settings: Replace control characters in faults of the TOML syntax

toml++ quotes the character that it did not expect, so a line end came into the text of the fault. The fuzz target found it; the new case of the test failed before.

--- a/Libraries/settings/src/load_settings.cpp
+++ b/Libraries/settings/src/load_settings.cpp
@@ -237,7 +237,7 @@
     } catch (const toml::parse_error& error) {
         throw settings_error({{.line = error.source().begin.line,
                                .key = {},
-                               .found = std::string(error.description()),
+                               .found = printable(std::string(error.description())),
                                .allowed = "TOML 1.0"}});
     }
 }
--- a/Libraries/settings/src/table_reader.cpp
+++ b/Libraries/settings/src/table_reader.cpp
@@ -14,15 +14,6 @@
 /// Longest value quoted in a fault, in bytes.
 constexpr std::size_t max_printable = 60;
 
-std::string printable(std::string value)
-{
-    const bool is_long = value.size() > max_printable;
-    value.resize(std::min(value.size(), max_printable));
-    std::replace_if(
-        value.begin(), value.end(), [](char character) { return character < ' ' || character > '~'; }, '?');
-    return is_long ? value + "..." : value;
-}
-
 std::string describe(const toml::node& node)
 {
     if (const auto* text = node.as_string())
@@ -36,6 +27,15 @@
 
 } // namespace
 
+std::string printable(std::string value)
+{
+    const bool is_long = value.size() > max_printable;
+    value.resize(std::min(value.size(), max_printable));
+    std::replace_if(
+        value.begin(), value.end(), [](char character) { return character < ' ' || character > '~'; }, '?');
+    return is_long ? value + "..." : value;
+}
+
 table_reader::table_reader(const toml::table& root, std::string name, std::vector<settings_fault>& faults)
     : m_name(std::move(name)), m_faults(faults)
 {
--- a/Libraries/settings/src/table_reader.h
+++ b/Libraries/settings/src/table_reader.h
@@ -20,6 +20,9 @@
     bool is_secret = false;
 };
 
+/// Shortens a value and replaces control and non-ASCII bytes, for use in a fault.
+[[nodiscard]] std::string printable(std::string value);
+
 /// Reads the keys of one TOML table and collects their faults. A value with a fault is returned as a default.
 class table_reader {
 public:
--- a/Libraries/settings/tests/settings_test.cpp
+++ b/Libraries/settings/tests/settings_test.cpp
@@ -104,6 +104,19 @@
     CHECK(faults_of(std::string(max_settings_bytes + 1, '#')).size() == 1);
 }
 
+TEST_CASE("a fault cannot carry control characters to a terminal or a log")
+{
+    for (const std::string text : {"a = \"\x1b[2J\"", "\"\\u001b\" = 1", "a\x1b = 1", "\xff", "a = i\n"}) {
+        CAPTURE(text);
+        const auto faults = faults_of(text);
+        REQUIRE_FALSE(faults.empty());
+        for (const settings_fault& fault : faults) {
+            for (const char character : to_string(fault))
+                CHECK((character >= ' ' && character <= '~'));
+        }
+    }
+}
+
 TEST_CASE("addresses survive a round trip")
 {
     for (const std::string text : {"10.0.0.1:1", "[fd00::1]:65535"}) {
