Services: Make cross-thread operations named objects

Cause: an entry process died with 'munmap_chunk(): invalid pointer' when callers resumed answers and when the table lost answers. g++ 12 destroys the captures of a lambda twice if the lambda is made inside a co_await expression. Ruled out: the claim state machine (its tests and the model pass) and the table adapter (the same faults without resumes ran clean).

--- a/Services/siskinwharfd/src/claim_committer.cpp
+++ b/Services/siskinwharfd/src/claim_committer.cpp
@@ -32,9 +32,12 @@
     asio::co_spawn(m_control, clean_up(), asio::detached);
 }
 
+// The operations are named objects: g++ 12 destroys temporaries of a co_await expression twice in some cases.
+
 asio::awaitable<platform::commit_result> claim_committer::commit(platform::table_write write)
 {
-    co_return co_await asio::co_spawn(m_control, commit_here(std::move(write)), asio::use_awaitable);
+    auto operation = commit_here(std::move(write));
+    co_return co_await asio::co_spawn(m_control, std::move(operation), asio::use_awaitable);
 }
 
 asio::awaitable<platform::commit_result> claim_committer::commit_here(platform::table_write write)
@@ -52,7 +55,8 @@
 
 asio::awaitable<platform::read_result> claim_committer::read(std::string key)
 {
-    co_return co_await asio::co_spawn(m_control, m_table.read(std::move(key)), asio::use_awaitable);
+    auto operation = m_table.read(std::move(key));
+    co_return co_await asio::co_spawn(m_control, std::move(operation), asio::use_awaitable);
 }
 
 asio::awaitable<void> claim_committer::commit_groups()
@@ -99,39 +103,43 @@
 
 asio::awaitable<void> claim_committer::begin(claims::attempt_number attempt)
 {
-    co_await asio::co_spawn(
-        m_control,
-        [this, attempt]() -> asio::awaitable<void> {
-            m_running.emplace(attempt, claims::holder_running{});
-            co_return;
-        },
-        asio::use_awaitable);
+    auto operation = begin_here(attempt);
+    co_await asio::co_spawn(m_control, std::move(operation), asio::use_awaitable);
+}
+
+asio::awaitable<void> claim_committer::begin_here(claims::attempt_number attempt)
+{
+    m_running.emplace(attempt, claims::holder_running{});
+    co_return;
 }
 
 asio::awaitable<void> claim_committer::end(claims::attempt_number attempt,
                                            std::optional<claims::claim_obligation> open)
 {
-    co_await asio::co_spawn(
-        m_control,
-        [this, attempt, open = std::move(open)]() mutable -> asio::awaitable<void> {
-            m_running.erase(attempt);
-            if (open)
-                m_cleanup.add(std::move(*open), now());
-            co_return;
-        },
-        asio::use_awaitable);
+    auto operation = end_here(attempt, std::move(open));
+    co_await asio::co_spawn(m_control, std::move(operation), asio::use_awaitable);
+}
+
+asio::awaitable<void> claim_committer::end_here(claims::attempt_number attempt,
+                                                std::optional<claims::claim_obligation> open)
+{
+    m_running.erase(attempt);
+    if (open)
+        m_cleanup.add(std::move(*open), now());
+    co_return;
 }
 
 asio::awaitable<claims::holder_reply> claim_committer::status(claims::attempt_number attempt)
 {
-    co_return co_await asio::co_spawn(
-        m_control,
-        [this, attempt]() -> asio::awaitable<claims::holder_reply> {
-            if (const auto running = m_running.find(attempt); running != m_running.end())
-                co_return running->second;
-            co_return m_cleanup.reply_to_peer(attempt).value_or(claims::holder_unknown{});
-        },
-        asio::use_awaitable);
+    auto operation = status_here(attempt);
+    co_return co_await asio::co_spawn(m_control, std::move(operation), asio::use_awaitable);
+}
+
+asio::awaitable<claims::holder_reply> claim_committer::status_here(claims::attempt_number attempt)
+{
+    if (const auto running = m_running.find(attempt); running != m_running.end())
+        co_return running->second;
+    co_return m_cleanup.reply_to_peer(attempt).value_or(claims::holder_unknown{});
 }
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/claim_committer.h
+++ b/Services/siskinwharfd/src/claim_committer.h
@@ -48,6 +48,10 @@
     };
 
     boost::asio::awaitable<platform::commit_result> commit_here(platform::table_write write);
+    boost::asio::awaitable<void> begin_here(claims::attempt_number attempt);
+    boost::asio::awaitable<void> end_here(claims::attempt_number attempt,
+                                          std::optional<claims::claim_obligation> open);
+    boost::asio::awaitable<claims::holder_reply> status_here(claims::attempt_number attempt);
     boost::asio::awaitable<void> commit_groups();
     boost::asio::awaitable<void> send_group(claims::write_batch group);
     boost::asio::awaitable<void> clean_up();
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -139,10 +139,7 @@
 {
     std::size_t active = 0;
     for (std::size_t index = 0; index < m_workers.size(); ++index) {
-        auto& own = *m_workers[index];
-        active += co_await asio::co_spawn(
-            own.context(), [&own]() -> asio::awaitable<std::size_t> { co_return own.active_requests(); },
-            asio::use_awaitable);
+        active += co_await worker::count_active(*m_workers[index]);
         active += m_servers[index]->active_requests();
     }
     co_return active;
--- a/Services/siskinwharfd/src/worker.cpp
+++ b/Services/siskinwharfd/src/worker.cpp
@@ -113,29 +113,44 @@
 asio::awaitable<std::optional<answer_part>> worker::read_answer(worker& owner, account_id account,
                                                                 request_id id, std::uint64_t offset)
 {
-    co_return co_await asio::co_spawn(
-        owner.m_context,
-        [&owner, account, id, offset]() -> asio::awaitable<std::optional<answer_part>> {
-            const auto request = owner.find(account, id);
-            if (!request)
-                co_return std::nullopt;
-            ++request->readers;
-            while (!request->ended() && request->tokens().size() <= offset)
-                co_await request->wait_for_change();
-            if (--request->readers == 0)
-                request->abandoned_at = now();
-            answer_part part;
-            const auto& tokens = request->tokens();
-            if (offset < tokens.size())
-                part.tokens.assign(tokens.begin() + static_cast<std::ptrdiff_t>(offset), tokens.end());
-            part.first_offset = offset;
-            part.phase = request->current_phase();
-            part.failure = request->failure();
-            part.identity = request->identity();
-            part.prompt_tokens = serving::count_tokens(request->spec().prompt);
-            co_return part;
-        },
-        asio::use_awaitable);
+    // The operation is a named object: g++ 12 destroys a lambda's captures twice if it is made in a co_await
+    // expression.
+    auto operation = owner.read_answer_here(std::move(account), std::move(id), offset);
+    co_return co_await asio::co_spawn(owner.m_context, std::move(operation), asio::use_awaitable);
+}
+
+asio::awaitable<std::optional<answer_part>> worker::read_answer_here(account_id account, request_id id,
+                                                                     std::uint64_t offset)
+{
+    const auto request = find(account, id);
+    if (!request)
+        co_return std::nullopt;
+    ++request->readers;
+    while (!request->ended() && request->tokens().size() <= offset)
+        co_await request->wait_for_change();
+    if (--request->readers == 0)
+        request->abandoned_at = now();
+    answer_part part;
+    const auto& tokens = request->tokens();
+    if (offset < tokens.size())
+        part.tokens.assign(tokens.begin() + static_cast<std::ptrdiff_t>(offset), tokens.end());
+    part.first_offset = offset;
+    part.phase = request->current_phase();
+    part.failure = request->failure();
+    part.identity = request->identity();
+    part.prompt_tokens = serving::count_tokens(request->spec().prompt);
+    co_return part;
+}
+
+asio::awaitable<std::size_t> worker::count_active(worker& owner)
+{
+    auto operation = owner.count_active_here();
+    co_return co_await asio::co_spawn(owner.m_context, std::move(operation), asio::use_awaitable);
+}
+
+asio::awaitable<std::size_t> worker::count_active_here()
+{
+    co_return active_requests();
 }
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/worker.h
+++ b/Services/siskinwharfd/src/worker.h
@@ -66,7 +66,13 @@
     static boost::asio::awaitable<std::optional<answer_part>>
     read_answer(worker& owner, account_id account, request_id id, std::uint64_t offset);
 
+    /// Number of requests that have not ended. May be awaited from any thread.
+    static boost::asio::awaitable<std::size_t> count_active(worker& owner);
+
 private:
+    boost::asio::awaitable<std::optional<answer_part>> read_answer_here(account_id account, request_id id,
+                                                                        std::uint64_t offset);
+    boost::asio::awaitable<std::size_t> count_active_here();
     boost::asio::awaitable<void> expire_requests();
     boost::asio::awaitable<void> run_request(std::shared_ptr<live_request> request);
 
