Services: Join the entry processes of a failure domain

A caller resumes through any entry process: from its own workers, from the peer that holds the request, or, after a crash, from the engine that still runs the stream. Copying requests to a peer in advance was ruled out: it would double the traffic of every request for the sake of rare crashes.

--- a/Libraries/base/include/siskinwharf/base/event.h
+++ b/Libraries/base/include/siskinwharf/base/event.h
@@ -70,6 +70,9 @@
 inline constexpr event_kind peer_message_rejected{406, event_level::warning, "peer_message_rejected",
                                                   "A peer message failed its checks."};
 
+inline constexpr event_kind peer_leaving{407, event_level::info, "peer_leaving",
+                                         "A peer is leaving or has left on its own."};
+
 inline constexpr event_kind platform_unavailable{500, event_level::warning, "platform_unavailable",
                                                  "A platform service does not answer."};
 inline constexpr event_kind platform_available{501, event_level::info, "platform_available",
@@ -85,14 +88,17 @@
 
 /// All events, in the order of their numbers.
 inline constexpr std::array all{
-    process_started,      process_ready,      process_stopping, process_stopped,
-    settings_rejected,    listen_failed,      request_accepted, request_finished,
-    request_refused,      attempt_failed,     request_moved,    request_handed_over,
-    request_quarantined,  claim_uncertain,    sheet_in_force,   sheet_rejected,
-    sheet_conflict,       endpoint_added,     endpoint_leaving, endpoint_dead,
-    peer_suspected,       peer_dead,          peer_alive,       peer_message_rejected,
-    platform_unavailable, platform_available, lease_acquired,   lease_lost,
-    order_sent,           order_refused,
+    process_started,     process_ready,        process_stopping,
+    process_stopped,     settings_rejected,    listen_failed,
+    request_accepted,    request_finished,     request_refused,
+    attempt_failed,      request_moved,        request_handed_over,
+    request_quarantined, claim_uncertain,      sheet_in_force,
+    sheet_rejected,      sheet_conflict,       endpoint_added,
+    endpoint_leaving,    endpoint_dead,        peer_suspected,
+    peer_dead,           peer_alive,           peer_message_rejected,
+    peer_leaving,        platform_unavailable, platform_available,
+    lease_acquired,      lease_lost,           order_sent,
+    order_refused,
 };
 
 } // namespace event
--- a/Services/siskinwharfd/src/caller_api.cpp
+++ b/Services/siskinwharfd/src/caller_api.cpp
@@ -10,6 +10,7 @@
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/serving/chat_request.h"
 #include "siskinwharf/serving/chat_response.h"
+#include "siskinwharf/serving/token_line.h"
 
 namespace siskinwharf::entry {
 
@@ -21,6 +22,8 @@
 /// Deadline of a request whose caller names none.
 constexpr milliseconds default_deadline{120'000};
 constexpr milliseconds longest_deadline{600'000};
+/// Longest silence of a stream that is relayed.
+constexpr milliseconds relay_timeout{10'000};
 constexpr std::size_t longest_request_id = 64;
 constexpr std::size_t longest_idempotency_key = 256;
 constexpr std::string_view services_prefix = "/services/";
@@ -63,6 +66,14 @@
             {"Siskinwharf-Request-Id", id.value()}};
 }
 
+/// Ends the connection to the caller of a request that goes on at a peer: a caller resumes a broken stream by
+/// its request id, through any entry process.
+void refuse_if_handed_over(const live_request& request)
+{
+    if (request.current_phase() == live_request::phase::handed_over)
+        throw http::caller_disconnected("the request was handed over to a peer");
+}
+
 /// Counts a caller that reads an answer.
 class reader_guard {
 public:
@@ -232,6 +243,7 @@
             break;
         co_await request->wait_for_change();
     }
+    refuse_if_handed_over(*request);
     if (request->failure())
         co_await writer.write(serving::render_error_event(*request->failure()));
     else
@@ -246,6 +258,7 @@
 {
     while (!request->ended())
         co_await request->wait_for_change();
+    refuse_if_handed_over(*request);
     if (request->failure())
         throw request_refused(*request->failure());
     auto answer =
@@ -268,31 +281,149 @@
         throw request_refused({refusal_type::malformed, "the path must be /v1/requests/<id>?offset=<n>"});
     for (const auto& owner : m_workers) {
         auto part = co_await worker::read_answer(*owner, account.account, id, *offset);
-        if (!part)
+        if (!part || part->phase == live_request::phase::handed_over)
             continue;
-        co_await writer.begin(200, stream_headers(id));
-        auto delivered = *offset;
+        co_await send_parts(*owner, account.account, id, std::move(*part), writer);
+        co_return;
+    }
+    const bool forwarded = message.find_header("Siskinwharf-Forwarded").has_value();
+    if (!forwarded && co_await relay_from_peer(message, account.account, id, writer))
+        co_return;
+    if (!forwarded && co_await relay_from_engine(*sheet, account.account, id, *offset, writer))
+        co_return;
+    throw request_refused({refusal_type::not_found,
+                           "no entry process of this failure domain knows the request", outcome::unknown,
+                           milliseconds(500)});
+}
+
+asio::awaitable<void> caller_api::send_parts(worker& owner, account_id account, request_id id,
+                                             answer_part first, http::response_writer& writer)
+{
+    auto delivered = first.first_offset;
+    std::optional<answer_part> part = std::move(first);
+    auto headers = stream_headers(id);
+    co_await writer.begin(200, std::move(headers));
+    while (true) {
+        auto events = serving::render_events(part->identity, part->tokens, delivered);
+        delivered += part->tokens.size();
+        co_await writer.write(std::move(events));
+        if (part->tokens.empty())
+            break;
+        part = co_await worker::read_answer(owner, account, id, delivered);
+        if (!part || part->phase == live_request::phase::handed_over)
+            throw http::caller_disconnected("the request was handed over to a peer");
+    }
+    if (part->failure)
+        co_await writer.write(serving::render_error_event(*part->failure));
+    else
+        co_await writer.write(serving::render_end_events(part->identity));
+    co_await writer.finish();
+}
+
+asio::awaitable<bool> caller_api::relay_from_peer(const http::request& message, account_id account,
+                                                  request_id id, http::response_writer& writer)
+{
+    if (!m_core.find_holder)
+        co_return false;
+    const auto holder = co_await m_core.find_holder(request_id(account.value() + ":" + id.value()));
+    if (!holder)
+        co_return false;
+    // FIXME: A holder whose caller listener uses TLS cannot be reached here.
+    http::request forwarded{"GET", message.path, message.query, {}, ""};
+    forwarded.headers.push_back(
+        {"Authorization", std::string(message.find_header("Authorization").value_or(""))});
+    forwarded.headers.push_back({"Siskinwharf-Forwarded", "1"});
+    try {
+        const auto stream = co_await m_worker.client().open(*holder, std::move(forwarded), relay_timeout);
+        if (stream->status() != 200)
+            co_return false;
+        auto headers = stream_headers(id);
+        co_await writer.begin(200, std::move(headers));
         while (true) {
-            auto events = serving::render_events(part->identity, part->tokens, delivered);
-            delivered += part->tokens.size();
-            co_await writer.write(std::move(events));
-            if (part->tokens.empty())
-                break;
-            part = co_await worker::read_answer(*owner, account.account, id, delivered);
-            if (!part)
+            auto lines = co_await stream->next_lines(relay_timeout);
+            if (lines.empty())
                 break;
+            co_await writer.write(std::move(lines));
         }
-        if (!part || part->failure) {
-            const http::refusal lost{refusal_type::internal, "the record of the request was lost",
-                                     outcome::unknown};
-            co_await writer.write(serving::render_error_event(part ? *part->failure : lost));
-        } else {
-            co_await writer.write(serving::render_end_events(part->identity));
+    } catch (const http::call_error& error) {
+        if (writer.started())
+            throw http::caller_disconnected(error.what());
+        co_return false;
+    }
+    co_await writer.finish();
+    co_return true;
+}
+
+asio::awaitable<bool> caller_api::relay_from_engine(const sheet_view& sheet, account_id account,
+                                                    request_id id, std::uint64_t offset,
+                                                    http::response_writer& writer)
+{
+    std::vector<std::shared_ptr<const routing::endpoint_info>> candidates;
+    {
+        const routing::rcu_read_section section;
+        for (const auto& [endpoint, entry] : m_core.table.read(section).endpoints) {
+            const auto* model = std::get_if<routing::model_target>(&entry.info->serves);
+            if (model != nullptr && sheet.find_grant(account, model->model.value()) != nullptr &&
+                entry.info->domain == m_core.settings.failure_domain)
+                candidates.push_back(entry.info);
         }
-        co_await writer.finish();
-        co_return;
     }
-    throw request_refused({refusal_type::not_found, "no such request here", outcome::unknown});
+    const auto path = "/streams/" + http::percent_encode(account.value() + ":" + id.value());
+    for (const auto& endpoint : candidates) {
+        http::request query{"GET", path, "offset=" + std::to_string(offset), {}, ""};
+        const http::address target{endpoint->address, endpoint->port};
+        std::unique_ptr<http::line_stream> stream;
+        try {
+            stream = co_await m_worker.client().open(target, std::move(query), relay_timeout);
+        } catch (const http::call_error&) {
+            continue;
+        }
+        if (stream->status() != 200)
+            continue;
+        const serving::answer_identity identity{
+            id.value(), std::get<routing::model_target>(endpoint->serves).model.value(), 0};
+        co_await relay_engine_stream(*stream, identity, offset, writer);
+        co_return true;
+    }
+    co_return false;
+}
+
+asio::awaitable<void> caller_api::relay_engine_stream(http::line_stream& stream,
+                                                      serving::answer_identity identity, std::uint64_t offset,
+                                                      http::response_writer& writer)
+{
+    auto headers = stream_headers(request_id(identity.id));
+    co_await writer.begin(200, std::move(headers));
+    std::optional<std::uint64_t> end;
+    try {
+        while (!end || offset < *end) {
+            const auto lines = co_await stream.next_lines(relay_timeout);
+            if (lines.empty())
+                break;
+            std::vector<std::string> tokens;
+            std::string_view rest = lines;
+            while (!rest.empty()) {
+                const auto length = std::min(rest.find('\n'), rest.size());
+                auto event = serving::parse_engine_line(rest.substr(0, length));
+                rest = rest.substr(std::min(length + 1, rest.size()));
+                if (auto* token = event ? std::get_if<serving::token_event>(&*event) : nullptr) {
+                    if (token->offset == offset + tokens.size())
+                        tokens.push_back(std::move(token->token));
+                } else if (event) {
+                    end = std::get<serving::end_event>(*event).offset;
+                }
+            }
+            auto events = serving::render_events(identity, tokens, offset);
+            offset += tokens.size();
+            co_await writer.write(std::move(events));
+        }
+    } catch (const http::call_error& error) {
+        throw http::caller_disconnected(error.what());
+    }
+    if (!end || offset < *end)
+        throw http::caller_disconnected("the stream of the engine ended early");
+    co_await writer.write(serving::render_end_events(identity));
+    co_await writer.finish();
 }
 
 service_call caller_api::admit_call(const sheet_view& sheet, http::request message) const
--- a/Services/siskinwharfd/src/caller_api.h
+++ b/Services/siskinwharfd/src/caller_api.h
@@ -28,6 +28,18 @@
     boost::asio::awaitable<void> create_completion(http::request message, http::response_writer& writer);
     boost::asio::awaitable<void> call_service(http::request message, http::response_writer& writer);
     boost::asio::awaitable<void> resume_answer(http::request message, http::response_writer& writer);
+    boost::asio::awaitable<void> send_parts(worker& owner, account_id account, request_id id,
+                                            answer_part first, http::response_writer& writer);
+    /// Relays the rest of an answer from the peer that holds it. Returns false if there is none.
+    boost::asio::awaitable<bool> relay_from_peer(const http::request& message, account_id account,
+                                                 request_id id, http::response_writer& writer);
+    /// Relays the rest of an answer whose entry process died from the engine that still runs it. Returns
+    /// false if no engine of the failure domain knows the stream.
+    boost::asio::awaitable<bool> relay_from_engine(const sheet_view& sheet, account_id account, request_id id,
+                                                   std::uint64_t offset, http::response_writer& writer);
+    boost::asio::awaitable<void> relay_engine_stream(http::line_stream& stream,
+                                                     serving::answer_identity identity, std::uint64_t offset,
+                                                     http::response_writer& writer);
     boost::asio::awaitable<void> list_models(http::request message, http::response_writer& writer);
     boost::asio::awaitable<void> stream_answer(std::shared_ptr<live_request> request,
                                                http::response_writer& writer);
--- a/Services/siskinwharfd/src/entry_core.h
+++ b/Services/siskinwharfd/src/entry_core.h
@@ -2,8 +2,12 @@
 
 #include <atomic>
 #include <functional>
+#include <optional>
+
+#include <boost/asio/awaitable.hpp>
 
 #include "siskinwharf/base/time.h"
+#include "siskinwharf/http/message.h"
 #include "siskinwharf/routing/router.h"
 #include "siskinwharf/routing/routing_table.h"
 #include "siskinwharf/settings/settings.h"
@@ -34,6 +38,9 @@
     std::function<void(const endpoint_id&, endpoint_report)> report_endpoint;
     /// Live entry processes of the own failure domain, this one included.
     std::atomic<std::uint32_t> entries_in_domain{1};
+    /// Finds the caller address of the peer that holds a request, named `<account>:<request id>`. May be
+    /// awaited from any thread.
+    std::function<boost::asio::awaitable<std::optional<http::address>>(request_id)> find_holder;
     /// Numbers attempts and requests of this process.
     std::atomic<std::uint64_t> next_number{1};
 };
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -20,6 +20,9 @@
 namespace {
 
 constexpr milliseconds drain_poll_period{50};
+/// Time before the end of a reclaimed instance at which its requests are handed over.
+constexpr milliseconds handover_margin{1'500};
+constexpr milliseconds last_writes_time{500};
 constexpr milliseconds readiness_poll_period{20};
 
 routing::routing_policy policy_of(settings::routing_policy policy)
@@ -59,10 +62,8 @@
               platform::platform_access{{m_core.settings.platform.ip, m_core.settings.platform.port},
                                         m_core.settings.instance.value()}),
       m_committer(m_control, m_table),
-      m_platform(m_control, m_core, m_client, [this](const std::map<endpoint_id, monotonic_time>& gone_at) {
-          for (auto& own : m_workers)
-              asio::post(own->context(), [&own, gone_at] { own->reclaims().on_leaving(gone_at); });
-      })
+      m_platform(m_control, m_core, m_client, make_observer()),
+      m_peers(std::make_shared<peer_node>(m_control, m_core, m_client, m_committer, make_peer_callbacks()))
 {
     const auto& settings = m_core.settings;
     std::optional<http::tls_files> tls;
@@ -70,9 +71,9 @@
         tls = http::tls_files{settings.tls->certificate, settings.tls->private_key};
     for (std::uint32_t index = 0; index < settings.threads; ++index)
         m_workers.push_back(std::make_unique<worker>(m_core));
-    const holder_query query_holder = [](std::string, claims::claim_identity,
-                                         claims::attempt_number) -> asio::awaitable<claims::holder_reply> {
-        co_return claims::holder_unknown{};
+    const holder_query query_holder = [this](std::string holder, claims::claim_identity identity,
+                                             claims::attempt_number attempt) {
+        return ask_holder(std::move(holder), std::move(identity), attempt);
     };
     for (auto& own : m_workers) {
         m_apis.push_back(std::make_unique<caller_api>(m_core, *own, m_workers, m_committer, query_holder));
@@ -89,6 +90,9 @@
         [this](http::request message, http::response_writer& writer) {
             return handle_admin(std::move(message), writer);
         });
+    m_core.find_holder = [this](request_id id) {
+        return find_holder(std::move(id));
+    };
     m_core.report_endpoint = [this](const endpoint_id& endpoint, endpoint_report report) {
         asio::post(m_control, [this, endpoint, report] { m_platform.report(endpoint, report); });
     };
@@ -96,11 +100,131 @@
 
 entry_process::~entry_process() = default;
 
+platform_sync::observer entry_process::make_observer()
+{
+    platform_sync::observer result;
+    result.on_leaving = [this](const std::map<endpoint_id, monotonic_time>& gone_at) {
+        for (auto& own : m_workers)
+            asio::post(own->context(), [&own, gone_at] { own->reclaims().on_leaving(gone_at); });
+    };
+    result.on_instances = [this](const std::vector<platform::instance_record>& records) {
+        m_peers->apply_instances(records);
+        note_entry_instances(records);
+    };
+    result.announce = [this](const std::vector<peer::endpoint_notice>& notices) {
+        m_peers->announce(notices);
+    };
+    result.relay = [this](const std::vector<peer::endpoint_notice>& notices) {
+        m_peers->relay(notices);
+    };
+    return result;
+}
+
+peer_callbacks entry_process::make_peer_callbacks()
+{
+    peer_callbacks result;
+    result.on_notices = [this](const std::vector<peer::endpoint_notice>& notices) {
+        m_platform.apply_notices(notices);
+    };
+    result.on_probe = [this](const endpoint_id& endpoint, bool answered) {
+        m_platform.probe_ended(endpoint, answered);
+    };
+    result.departed = [this] {
+        return m_platform.departed();
+    };
+    result.locate = [this](request_id id) {
+        return locate_here(std::move(id));
+    };
+    result.adopt = [this](peer::request_record record) {
+        return adopt(std::move(record));
+    };
+    return result;
+}
+
+asio::awaitable<claims::holder_reply>
+entry_process::ask_holder(std::string holder, claims::claim_identity identity, claims::attempt_number attempt)
+{
+    auto operation = m_peers->query_claim(std::move(holder), std::move(identity), attempt);
+    co_return co_await asio::co_spawn(m_control, std::move(operation), asio::use_awaitable);
+}
+
+void entry_process::note_entry_instances(const std::vector<platform::instance_record>& records)
+{
+    for (const auto& record : records) {
+        if (!std::holds_alternative<platform::serves_entry>(record.serves))
+            continue;
+        m_entry_addresses[record.id] = {record.address, record.port};
+        if (record.id != m_core.settings.instance || !record.leaving || m_core.stopping)
+            continue;
+        // The own instance is being reclaimed: what does not finish in time is handed over.
+        const auto notice = record.leaves_in.value_or(m_core.settings.stop_timeout);
+        asio::co_spawn(m_control, stop_within(notice - handover_margin), asio::detached);
+    }
+}
+
+asio::awaitable<std::optional<http::address>> entry_process::find_holder(request_id id)
+{
+    auto operation = find_holder_here(std::move(id));
+    co_return co_await asio::co_spawn(m_control, std::move(operation), asio::use_awaitable);
+}
+
+asio::awaitable<std::optional<http::address>> entry_process::find_holder_here(request_id id)
+{
+    const auto holder = co_await m_peers->locate(std::move(id));
+    if (!holder)
+        co_return std::nullopt;
+    const auto found = m_entry_addresses.find(*holder);
+    if (found == m_entry_addresses.end())
+        co_return std::nullopt;
+    co_return found->second;
+}
+
+asio::awaitable<void> entry_process::hand_over_requests()
+{
+    for (const auto& own : m_workers) {
+        const auto records = co_await worker::export_records(*own);
+        for (const auto& record : records) {
+            if (co_await m_peers->hand_over(record))
+                co_await worker::release(*own, record.request.value());
+        }
+    }
+}
+
+asio::awaitable<void> entry_process::stop_within(milliseconds time)
+{
+    if (m_core.stopping.exchange(true))
+        co_return;
+    log_event(event::process_stopping, {{"time_ms", std::to_string(time.count())}});
+    co_await drain(now() + time);
+    co_await hand_over_requests();
+    // Callers whose connection was to end get that end before the process does.
+    co_await drain(now() + last_writes_time);
+    m_peers->stop();
+    m_control.stop();
+}
+
+asio::awaitable<peer::locate_state> entry_process::locate_here(request_id id)
+{
+    for (const auto& own : m_workers) {
+        const auto state = co_await worker::locate(*own, id.value());
+        if (state != peer::locate_state::unknown)
+            co_return state;
+    }
+    co_return peer::locate_state::unknown;
+}
+
+asio::awaitable<bool> entry_process::adopt(peer::request_record record)
+{
+    const auto index = m_core.next_number.fetch_add(1) % m_workers.size();
+    co_return co_await worker::adopt(*m_workers[index], std::move(record));
+}
+
 void entry_process::run()
 {
     log_event(event::process_started, {{"instance", m_core.settings.instance.value()},
                                        {"failure_domain", m_core.settings.failure_domain.value()}});
     m_admin->start();
+    m_peers->start();
     m_platform.start();
     m_committer.start();
     for (std::size_t index = 0; index < m_workers.size(); ++index) {
@@ -129,10 +253,7 @@
 {
     asio::signal_set signals(m_control, SIGTERM, SIGINT);
     co_await signals.async_wait(asio::as_tuple(asio::use_awaitable));
-    m_core.stopping = true;
-    log_event(event::process_stopping);
-    co_await drain();
-    m_control.stop();
+    co_await stop_within(m_core.settings.stop_timeout);
 }
 
 asio::awaitable<std::size_t> entry_process::count_active()
@@ -145,9 +266,8 @@
     co_return active;
 }
 
-asio::awaitable<void> entry_process::drain()
+asio::awaitable<void> entry_process::drain(monotonic_time give_up_at)
 {
-    const auto give_up_at = now() + m_core.settings.stop_timeout;
     asio::steady_timer timer(m_control);
     while (now() < give_up_at) {
         if (co_await count_active() == 0)
--- a/Services/siskinwharfd/src/entry_process.h
+++ b/Services/siskinwharfd/src/entry_process.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -8,6 +10,7 @@
 #include "caller_api.h"
 #include "claim_committer.h"
 #include "entry_core.h"
+#include "peer_node.h"
 #include "platform_sync.h"
 #include "siskinwharf/http/server.h"
 #include "worker.h"
@@ -29,9 +32,21 @@
     void run();
 
 private:
+    [[nodiscard]] platform_sync::observer make_observer();
+    [[nodiscard]] peer_callbacks make_peer_callbacks();
+    boost::asio::awaitable<claims::holder_reply>
+    ask_holder(std::string holder, claims::claim_identity identity, claims::attempt_number attempt);
+    boost::asio::awaitable<peer::locate_state> locate_here(request_id id);
+    boost::asio::awaitable<bool> adopt(peer::request_record record);
     boost::asio::awaitable<void> watch_signals();
     boost::asio::awaitable<void> watch_readiness();
-    boost::asio::awaitable<void> drain();
+    boost::asio::awaitable<void> drain(monotonic_time give_up_at);
+    /// Stops accepting, finishes what can be finished in time, hands over the rest and ends the process.
+    boost::asio::awaitable<void> stop_within(milliseconds time);
+    boost::asio::awaitable<void> hand_over_requests();
+    boost::asio::awaitable<std::optional<http::address>> find_holder(request_id id);
+    boost::asio::awaitable<std::optional<http::address>> find_holder_here(request_id id);
+    void note_entry_instances(const std::vector<platform::instance_record>& records);
     boost::asio::awaitable<std::size_t> count_active();
     boost::asio::awaitable<void> handle_admin(http::request message, http::response_writer& writer);
 
@@ -44,6 +59,8 @@
     std::vector<std::unique_ptr<caller_api>> m_apis;
     std::vector<std::unique_ptr<http::server>> m_servers;
     platform_sync m_platform;
+    std::shared_ptr<peer_node> m_peers;
+    std::map<instance_id, http::address> m_entry_addresses;
     std::unique_ptr<http::server> m_admin;
 };
 
--- a/Services/siskinwharfd/src/live_request.cpp
+++ b/Services/siskinwharfd/src/live_request.cpp
@@ -31,12 +31,16 @@
 
 void live_request::finish()
 {
+    if (ended())
+        return;
     m_phase = phase::finished;
     notify();
 }
 
 void live_request::fail(http::refusal reason)
 {
+    if (ended())
+        return;
     m_phase = phase::failed;
     m_failure = std::move(reason);
     notify();
@@ -60,6 +64,23 @@
                : static_cast<double>(m_tokens_since_first) / elapsed.count();
 }
 
+void live_request::restore(std::vector<std::string> tokens, std::uint32_t attempt, endpoint_id endpoint)
+{
+    m_assembler.restore(std::move(tokens), attempt);
+    m_restored_endpoint = std::move(endpoint);
+    m_phase = phase::accepted;
+}
+
+void live_request::hand_over()
+{
+    if (ended())
+        return;
+    m_phase = phase::handed_over;
+    if (m_stream != nullptr)
+        m_stream->cancel();
+    notify();
+}
+
 void live_request::notify()
 {
     m_changed.cancel();
--- a/Services/siskinwharfd/src/live_request.h
+++ b/Services/siskinwharfd/src/live_request.h
@@ -44,7 +44,8 @@
 /// to the thread of its worker.
 class live_request {
 public:
-    enum class phase { waiting, accepted, finished, failed };
+    /// A request in phase `handed_over` goes on at a peer.
+    enum class phase { waiting, accepted, finished, failed, handed_over };
 
     live_request(const boost::asio::any_io_executor& executor, request_spec spec);
 
@@ -54,7 +55,7 @@
     [[nodiscard]] const std::vector<std::string>& tokens() const { return m_assembler.tokens(); }
 
     [[nodiscard]] phase current_phase() const { return m_phase; }
-    [[nodiscard]] bool ended() const { return m_phase == phase::finished || m_phase == phase::failed; }
+    [[nodiscard]] bool ended() const { return m_phase != phase::waiting && m_phase != phase::accepted; }
     /// Set in phase `failed`.
     [[nodiscard]] const std::optional<http::refusal>& failure() const { return m_failure; }
 
@@ -65,6 +66,13 @@
     void note_tokens(std::size_t count, monotonic_time time);
     /// Speed of the stream at its present endpoint; 0 before it is known.
     [[nodiscard]] double tokens_per_second() const;
+    /// Continues with what a peer has handed over; the stream may still run at `endpoint`.
+    void restore(std::vector<std::string> tokens, std::uint32_t attempt, endpoint_id endpoint);
+    /// Ends the request here, because a peer has taken it.
+    void hand_over();
+    [[nodiscard]] std::uint32_t attempt() const { return m_assembler.attempt(); }
+    /// Endpoint at which a request that was handed over may still run.
+    [[nodiscard]] const endpoint_id& restored_endpoint() const { return m_restored_endpoint; }
     /// Wakes everybody who waits for a change.
     void notify();
     /// Returns after the next change.
@@ -98,6 +106,7 @@
     std::shared_ptr<const routing::endpoint_info> m_endpoint;
     http::line_stream* m_stream = nullptr;
     std::optional<move_request> m_move;
+    endpoint_id m_restored_endpoint;
     monotonic_time m_first_tokens_at{};
     monotonic_time m_last_tokens_at{};
     std::size_t m_tokens_since_first = 0;
--- a/Services/siskinwharfd/src/model_runner.cpp
+++ b/Services/siskinwharfd/src/model_runner.cpp
@@ -1,5 +1,6 @@
 #include "model_runner.h"
 
+#include <limits>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -139,13 +140,26 @@
 
 asio::awaitable<void> model_runner::run_attempts()
 {
-    while (true) {
-        auto chosen = co_await acquire();
+    auto restored = take_restored_endpoint();
+    while (!m_request->ended()) {
+        const bool resumes = restored.has_value();
+        routing::chosen_endpoint chosen;
+        if (resumes)
+            chosen = std::move(*std::exchange(restored, std::nullopt));
+        else
+            chosen = co_await acquire();
         const auto endpoint = chosen.endpoint;
         ++m_history.attempts;
         const bool imports = endpoint->id == m_planned_target && !m_exported_kv.empty();
-        auto end = imports ? co_await import_attempt(chosen, std::exchange(m_exported_kv, {}))
-                           : co_await run_attempt(chosen);
+        attempt_end end{};
+        if (resumes)
+            end = co_await resume_attempt(chosen);
+        else if (imports)
+            end = co_await import_attempt(chosen, std::exchange(m_exported_kv, {}));
+        else
+            end = co_await run_attempt(chosen);
+        if (m_request->ended())
+            co_return;
         m_planned_target = {};
         m_exported_kv.clear();
         auto step = serving::decide_next_step(end, m_history, now());
@@ -191,6 +205,23 @@
     }
 }
 
+std::optional<routing::chosen_endpoint> model_runner::take_restored_endpoint()
+{
+    if (m_request->current_phase() != live_request::phase::accepted)
+        return std::nullopt;
+    m_history.accepted = true;
+    const auto& id = m_request->restored_endpoint();
+    const auto info = m_core.table.find_info(id);
+    const auto load = m_core.table.find_load(id);
+    const auto output_tokens = m_request->spec().max_tokens;
+    // The endpoint counts the stream already, so its capacity does not limit the reservation.
+    if (!info || !load ||
+        !load->try_begin(now(), std::numeric_limits<std::uint32_t>::max(), 0, output_tokens))
+        return std::nullopt;
+    return routing::chosen_endpoint{info, routing::in_flight_guard(load, 0, output_tokens), 0,
+                                    nanoseconds(0)};
+}
+
 std::optional<routing::chosen_endpoint> model_runner::take_planned_target()
 {
     if (m_planned_target.empty())
--- a/Services/siskinwharfd/src/model_runner.h
+++ b/Services/siskinwharfd/src/model_runner.h
@@ -38,6 +38,8 @@
     /// Tells an endpoint that its stream is not wanted any more.
     boost::asio::awaitable<void> cancel_at(std::shared_ptr<const routing::endpoint_info> endpoint);
 
+    /// The endpoint at which a request that was handed over may still run.
+    [[nodiscard]] std::optional<routing::chosen_endpoint> take_restored_endpoint();
     /// The endpoint that the reclaim plan chose, if it still has a slot.
     [[nodiscard]] std::optional<routing::chosen_endpoint> take_planned_target();
     void take_lines(const std::string& lines, bool& ended);
--- a/Services/siskinwharfd/src/platform_sync.cpp
+++ b/Services/siskinwharfd/src/platform_sync.cpp
@@ -59,6 +59,29 @@
     return info;
 }
 
+std::string_view to_text(membership::endpoint_source source)
+{
+    switch (source) {
+    case membership::endpoint_source::instance_list:
+        return "instance_list";
+    case membership::endpoint_source::reclaim_notice:
+        return "reclaim_notice";
+    case membership::endpoint_source::refusal:
+        return "request";
+    case membership::endpoint_source::peer:
+        return "peer";
+    case membership::endpoint_source::probe:
+        return "probe";
+    }
+    return "unknown";
+}
+
+std::uint64_t unix_milliseconds()
+{
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
+}
+
 asio::awaitable<void> wait_until(monotonic_time time)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, time);
@@ -68,10 +91,10 @@
 } // namespace
 
 platform_sync::platform_sync(asio::io_context& context, entry_core& core, http::client& client,
-                             leaving_handler on_leaving)
+                             observer observer)
     : m_context(context),
       m_core(core),
-      m_on_leaving(std::move(on_leaving)),
+      m_observer(std::move(observer)),
       m_table(client, access_of(core.settings)),
       m_instances(client, access_of(core.settings))
 {
@@ -138,62 +161,113 @@
     }
 }
 
+void platform_sync::update_directory(const std::vector<platform::instance_record>& records)
+{
+    std::vector<membership::listed_endpoint> listed;
+    for (const auto& record : records) {
+        const bool is_endpoint = !std::holds_alternative<platform::serves_entry>(record.serves);
+        if (!is_endpoint || record.domain != m_core.settings.failure_domain)
+            continue;
+        const endpoint_id id(record.id.value());
+        if (record.leaving && !m_gone_at.contains(id))
+            m_gone_at[id] = now() + record.leaves_in.value_or(assumed_notice);
+        if (!record.leaving)
+            m_gone_at.erase(id);
+        listed.push_back({id, record.started_ms, record.leaving});
+    }
+    carry_out(m_directory.apply_instance_list(now(), listed));
+}
+
+void platform_sync::correct_state(routing::endpoint_info& info) const
+{
+    const bool own = info.domain == m_core.settings.failure_domain;
+    if (own && m_directory.state_of(info.id) != peer::endpoint_state::live)
+        info.state = routing::endpoint_state::leaving;
+}
+
 void platform_sync::apply_instances(const std::vector<platform::instance_record>& records)
 {
+    update_directory(records);
     routing::table_changes changes;
     std::map<endpoint_id, monotonic_time> leaving;
     std::set<endpoint_id> listed;
-    std::uint32_t entries = 0;
     for (const auto& record : records) {
-        if (std::holds_alternative<platform::serves_entry>(record.serves) &&
-            record.domain == m_core.settings.failure_domain && !record.leaving)
-            ++entries;
         auto info = to_endpoint(record);
         if (!info)
             continue;
         listed.insert(info->id);
-        m_started[info->id] = record.started_ms;
-        // The list lags: it may show an endpoint as live that is known to have left.
-        if (const auto departed = m_departed.find(info->id);
-            departed != m_departed.end() && departed->second >= record.started_ms)
-            info->state = routing::endpoint_state::leaving;
+        correct_state(*info);
         const auto known = m_core.table.find_info(info->id);
         if (known && *known == *info)
             continue;
         if (!known)
             log_event(event::endpoint_added,
                       {{"endpoint", info->id.value()}, {"domain", info->domain.value()}});
-        else if (info->state == routing::endpoint_state::leaving &&
-                 known->state == routing::endpoint_state::live)
-            log_event(event::endpoint_leaving, {{"endpoint", info->id.value()}, {"source", "instance_list"}});
-        if (known && info->state == routing::endpoint_state::leaving)
+        // Streams on an endpoint of another failure domain are moved as well.
+        if (known && info->state == routing::endpoint_state::leaving &&
+            known->state == routing::endpoint_state::live)
             leaving[info->id] = now() + record.leaves_in.value_or(assumed_notice);
+        m_routed.insert(info->id);
         changes.put.push_back(std::move(*info));
     }
-    std::erase_if(m_started, [&](const auto& entry) {
-        if (listed.contains(entry.first))
+    std::erase_if(m_routed, [&](const auto& id) {
+        // An endpoint of the own failure domain that the list has lost stays until its probes fail.
+        if (listed.contains(id) || m_directory.state_of(id) == peer::endpoint_state::live)
             return false;
-        changes.remove.push_back(entry.first);
+        changes.remove.push_back(id);
         return true;
     });
-    m_core.entries_in_domain = std::max<std::uint32_t>(entries, 1);
     if (!changes.put.empty() || !changes.remove.empty())
         m_core.table.publish(changes);
     if (!leaving.empty())
-        m_on_leaving(std::move(leaving));
+        m_observer.on_leaving(std::move(leaving));
+    m_observer.on_instances(records);
+}
+
+void platform_sync::carry_out(const membership::endpoint_changes& changes)
+{
+    std::map<endpoint_id, monotonic_time> leaving;
+    for (const auto& [endpoint, state, source] : changes.events) {
+        if (state == peer::endpoint_state::live)
+            continue;
+        m_core.table.mark_leaving({endpoint});
+        const auto& kind =
+            state == peer::endpoint_state::dead ? event::endpoint_dead : event::endpoint_leaving;
+        log_event(kind, {{"endpoint", endpoint.value()}, {"source", std::string(to_text(source))}});
+        if (state != peer::endpoint_state::leaving)
+            continue;
+        const auto known = m_gone_at.find(endpoint);
+        leaving[endpoint] = known == m_gone_at.end() ? now() + assumed_notice : known->second;
+    }
+    if (!leaving.empty())
+        m_observer.on_leaving(std::move(leaving));
+    if (!changes.announce.empty())
+        m_observer.announce(changes.announce);
+    if (!changes.relay.empty())
+        m_observer.relay(changes.relay);
 }
 
 void platform_sync::report(const endpoint_id& endpoint, endpoint_report report)
 {
-    const auto started = m_started.find(endpoint);
-    if (started != m_started.end())
-        m_departed[endpoint] = started->second;
-    if (m_core.table.mark_leaving({endpoint}) == 0)
+    if (report == endpoint_report::leaving) {
+        carry_out(m_directory.report_leaving(now(), endpoint, membership::endpoint_source::refusal,
+                                             unix_milliseconds()));
         return;
-    const auto& kind = report == endpoint_report::dead ? event::endpoint_dead : event::endpoint_leaving;
-    log_event(kind, {{"endpoint", endpoint.value()}, {"source", "request"}});
-    if (report == endpoint_report::leaving)
-        m_on_leaving({{endpoint, now() + assumed_notice}});
+    }
+    // An endpoint that refuses connections is dead for certain; a later probe that it answers brings it back.
+    for (std::uint32_t probe = 0; probe < membership::probes_until_dead; ++probe)
+        carry_out(m_directory.probe_failed(now(), endpoint));
+}
+
+void platform_sync::apply_notices(const std::vector<peer::endpoint_notice>& notices)
+{
+    carry_out(m_directory.apply_notices(now(), notices));
+}
+
+void platform_sync::probe_ended(const endpoint_id& endpoint, bool answered)
+{
+    carry_out(answered ? m_directory.probe_answered(now(), endpoint)
+                       : m_directory.probe_failed(now(), endpoint));
 }
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/platform_sync.h
+++ b/Services/siskinwharfd/src/platform_sync.h
@@ -3,12 +3,15 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
+#include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
 #include "entry_core.h"
 #include "siskinwharf/http/client.h"
+#include "siskinwharf/membership/endpoint_directory.h"
 #include "siskinwharf/platform/http_platform.h"
 
 namespace siskinwharf::entry {
@@ -17,15 +20,30 @@
 /// thread.
 class platform_sync {
 public:
-    using leaving_handler = std::function<void(std::map<endpoint_id, monotonic_time>)>;
+    /// Called on the control thread.
+    struct observer {
+        /// Endpoints began to leave; each is gone at its time.
+        std::function<void(std::map<endpoint_id, monotonic_time>)> on_leaving;
+        /// The instance list was read.
+        std::function<void(const std::vector<platform::instance_record>&)> on_instances;
+        /// This process learned something about an endpoint that its peers should know at once.
+        std::function<void(const std::vector<peer::endpoint_notice>&)> announce;
+        /// A peer's notice was news, to be passed on.
+        std::function<void(const std::vector<peer::endpoint_notice>&)> relay;
+    };
 
-    /// `on_leaving` is called on the control thread with endpoints that began to leave and when each is gone.
     platform_sync(boost::asio::io_context& context, entry_core& core, http::client& client,
-                  leaving_handler on_leaving);
+                  observer observer);
 
     void start();
     /// Takes in what a request found out. Must be called on the control thread.
     void report(const endpoint_id& endpoint, endpoint_report report);
+    /// Takes in what peers know about endpoints.
+    void apply_notices(const std::vector<peer::endpoint_notice>& notices);
+    /// Takes in the result of a probe of an endpoint.
+    void probe_ended(const endpoint_id& endpoint, bool answered);
+    /// Endpoints of the own failure domain that are leaving or dead.
+    [[nodiscard]] std::vector<peer::endpoint_notice> departed() const { return m_directory.departed(); }
 
 private:
     boost::asio::awaitable<void> poll_sheet();
@@ -33,17 +51,23 @@
     boost::asio::awaitable<bool> fetch_sheet();
     void apply_instances(const std::vector<platform::instance_record>& records);
     void note_platform(bool answers);
+    void update_directory(const std::vector<platform::instance_record>& records);
+    void carry_out(const membership::endpoint_changes& changes);
+    /// Sets the state of an endpoint from the directory, which knows more than the lagging list.
+    void correct_state(routing::endpoint_info& info) const;
 
     boost::asio::io_context& m_context;
     entry_core& m_core;
-    leaving_handler m_on_leaving;
+    observer m_observer;
     platform::http_table_store m_table;
     platform::http_instance_list m_instances;
     std::mt19937_64 m_random{std::random_device{}()};
     bool m_platform_answers = true;
-    /// Endpoints that died or are leaving, with the start time of the instance that did.
-    std::map<endpoint_id, std::uint64_t> m_departed;
-    std::map<endpoint_id, std::uint64_t> m_started;
+    membership::endpoint_directory m_directory;
+    /// Endpoints in the routing table.
+    std::set<endpoint_id> m_routed;
+    /// Notice that the platform gave to leaving endpoints.
+    std::map<endpoint_id, monotonic_time> m_gone_at;
 };
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/worker.cpp
+++ b/Services/siskinwharfd/src/worker.cpp
@@ -8,7 +8,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "handover.h"
 #include "model_runner.h"
+#include "siskinwharf/base/event_log.h"
 #include "siskinwharf/serving/chat_request.h"
 
 namespace siskinwharf::entry {
@@ -153,4 +155,69 @@
     co_return active_requests();
 }
 
+asio::awaitable<peer::locate_state> worker::locate(worker& owner, std::string key)
+{
+    auto operation = owner.locate_here(std::move(key));
+    co_return co_await asio::co_spawn(owner.m_context, std::move(operation), asio::use_awaitable);
+}
+
+asio::awaitable<peer::locate_state> worker::locate_here(std::string key)
+{
+    const auto found = m_requests.find(key);
+    if (found == m_requests.end() || found->second->current_phase() == live_request::phase::handed_over)
+        co_return peer::locate_state::unknown;
+    co_return found->second->ended() ? peer::locate_state::done : peer::locate_state::running;
+}
+
+asio::awaitable<bool> worker::adopt(worker& owner, peer::request_record record)
+{
+    auto operation = owner.adopt_here(std::move(record));
+    co_return co_await asio::co_spawn(owner.m_context, std::move(operation), asio::use_awaitable);
+}
+
+asio::awaitable<bool> worker::adopt_here(peer::request_record record)
+{
+    auto request = from_record(m_context.get_executor(), record, now());
+    if (!request)
+        co_return false;
+    const auto key = key_of(request->spec().account, request->spec().id);
+    // A record can arrive twice, when the answer to the first was lost.
+    if (m_requests.contains(key))
+        co_return true;
+    m_requests.emplace(key, request);
+    log_event(event::request_handed_over, {{"request", request->spec().id.value()}, {"from", "peer"}});
+    asio::co_spawn(m_context, run_request(std::move(request)), asio::detached);
+    co_return true;
+}
+
+asio::awaitable<std::vector<peer::request_record>> worker::export_records(worker& owner)
+{
+    auto operation = owner.export_here();
+    co_return co_await asio::co_spawn(owner.m_context, std::move(operation), asio::use_awaitable);
+}
+
+asio::awaitable<std::vector<peer::request_record>> worker::export_here()
+{
+    std::vector<peer::request_record> records;
+    for (const auto& [key, request] : m_requests) {
+        // Only an accepted request has to survive; the others are refused as not_run and go elsewhere.
+        if (request->current_phase() == live_request::phase::accepted)
+            records.push_back(to_record(*request, now()));
+    }
+    co_return records;
+}
+
+asio::awaitable<void> worker::release(worker& owner, std::string key)
+{
+    auto operation = owner.release_here(std::move(key));
+    co_await asio::co_spawn(owner.m_context, std::move(operation), asio::use_awaitable);
+}
+
+asio::awaitable<void> worker::release_here(std::string key)
+{
+    if (const auto found = m_requests.find(key); found != m_requests.end())
+        found->second->hand_over();
+    co_return;
+}
+
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/worker.h
+++ b/Services/siskinwharfd/src/worker.h
@@ -15,6 +15,7 @@
 #include "reclaim_coordinator.h"
 #include "sheet_view.h"
 #include "siskinwharf/http/client.h"
+#include "siskinwharf/peer/messages.h"
 
 namespace siskinwharf::entry {
 
@@ -66,6 +67,15 @@
     static boost::asio::awaitable<std::optional<answer_part>>
     read_answer(worker& owner, account_id account, request_id id, std::uint64_t offset);
 
+    /// Whether this worker holds a request, by `<account>:<request id>`. May be awaited from any thread.
+    static boost::asio::awaitable<peer::locate_state> locate(worker& owner, std::string key);
+    /// Continues a request that a peer hands over. May be awaited from any thread.
+    static boost::asio::awaitable<bool> adopt(worker& owner, peer::request_record record);
+    /// The records of all requests that have not ended. May be awaited from any thread.
+    static boost::asio::awaitable<std::vector<peer::request_record>> export_records(worker& owner);
+    /// Ends a request whose record a peer has taken; its callers resume there. May be awaited from any
+    /// thread.
+    static boost::asio::awaitable<void> release(worker& owner, std::string key);
     /// Number of requests that have not ended. May be awaited from any thread.
     static boost::asio::awaitable<std::size_t> count_active(worker& owner);
 
@@ -73,6 +83,10 @@
     boost::asio::awaitable<std::optional<answer_part>> read_answer_here(account_id account, request_id id,
                                                                         std::uint64_t offset);
     boost::asio::awaitable<std::size_t> count_active_here();
+    boost::asio::awaitable<peer::locate_state> locate_here(std::string key);
+    boost::asio::awaitable<bool> adopt_here(peer::request_record record);
+    boost::asio::awaitable<std::vector<peer::request_record>> export_here();
+    boost::asio::awaitable<void> release_here(std::string key);
     boost::asio::awaitable<void> expire_requests();
     boost::asio::awaitable<void> run_request(std::shared_ptr<live_request> request);
 
