Platform: Add the cloud API port and its HTTP adapter

Starts carry a client token, so an uncertain start can be repeated. Answers that do not say what happened are uncertain; only the no_capacity error of the cloud API counts as a refusal for capacity.

--- a/Libraries/platform/include/siskinwharf/platform/http_platform.h
+++ b/Libraries/platform/include/siskinwharf/platform/http_platform.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "siskinwharf/http/client.h"
+#include "siskinwharf/platform/cloud_api.h"
 #include "siskinwharf/platform/instance_list.h"
 #include "siskinwharf/platform/table_store.h"
 
@@ -40,4 +43,23 @@
     platform_access m_access;
 };
 
+/// Cloud API over HTTP and JSON. Used from the thread of its executor.
+class http_cloud_api final : public cloud_api {
+public:
+    http_cloud_api(http::client& client, platform_access access);
+
+    boost::asio::awaitable<offers_result> offers() override;
+    boost::asio::awaitable<instances_result> instances() override;
+    boost::asio::awaitable<start_result> start(start_request wanted) override;
+    boost::asio::awaitable<stop_result> stop(instance_id id) override;
+    boost::asio::awaitable<notices_result> notices(std::uint64_t after) override;
+
+private:
+    /// Body of a successful read, or nothing.
+    boost::asio::awaitable<std::optional<std::string>> get(std::string path, std::string query);
+
+    http::client& m_client;
+    platform_access m_access;
+};
+
 } // namespace siskinwharf::platform
--- /dev/null
+++ b/Libraries/platform/src/cloud_json.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "siskinwharf/platform/cloud_api.h"
+
+namespace siskinwharf::platform {
+
+[[nodiscard]] std::string encode_start(const start_request& wanted);
+/// The functions below throw an exception derived from `std::exception` for a body of another form.
+[[nodiscard]] std::vector<cloud_offer> decode_offers(std::string_view body);
+[[nodiscard]] cloud_instance decode_cloud_instance(std::string_view body);
+[[nodiscard]] std::vector<cloud_instance> decode_cloud_instances(std::string_view body);
+[[nodiscard]] notice_page decode_notices(std::string_view body);
+/// The `error` member of a refusal.
+[[nodiscard]] std::string decode_error_name(std::string_view body);
+
+} // namespace siskinwharf::platform
