--- a/Meta/install-dependencies.sh
+++ b/Meta/install-dependencies.sh
@@ -4,7 +4,7 @@
 packages=(
     g++ cmake ninja-build ccache clang clang-format-14 clang-tidy-14 libclang-rt-14-dev lld-14
     libboost1.81-dev libboost-json1.81-dev libthrift-dev thrift-compiler libtomlplusplus-dev libpopt-dev
-    libfmt-dev catch2 libtrompeloeil-cpp-dev liburcu-dev librapidcheck-dev libssl-dev spin
+    libfmt-dev catch2 libtrompeloeil-cpp-dev liburcu-dev librapidcheck-dev libssl-dev spin python3
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/Tests/system/deployment.py
+++ b/Tests/system/deployment.py
@@ -110,6 +110,7 @@
         self.processes = {}
         self.entries = {}
         self.endpoints = {}
+        self.billed = {}
         self.platform_port = None
 
     def __enter__(self):
@@ -140,6 +141,8 @@
         status, text = http("PUT", self.platform_port, f"/instances/{name}", record)
         if status >= 300:
             raise DeploymentError(f"registering {name}: {status} {text}")
+        self.billed[name] = {"price": record.get("price_microcents_per_second", 0), "start": time.monotonic(),
+                             "end": None}
 
     def start_engine(self, name, region, model, version, capacity=16, price=1000, reclaimable=True, extra=()):
         process = self.spawn(name, self.bin / "engine_standin", "--model", model, "--version", version,
@@ -214,6 +217,14 @@
         for name in names:
             if name in self.endpoints:
                 http("POST", self.endpoints[name], "/faults", {"leave_in_ms": in_ms})
+            if name in self.billed:
+                self.billed[name]["end"] = time.monotonic() + in_ms / 1000
+
+    def cost_cents(self):
+        """Price of each registered instance times its time from registration until it left, or until now."""
+        now = time.monotonic()
+        return sum(each["price"] * (min(now, each["end"] or now) - each["start"])
+                   for each in self.billed.values()) / 1e6
 
     def engine_stats(self):
         """Sum of the counters of all engines that still run."""
