--- a/Services/siskinwharfd/src/entry_core.h
+++ b/Services/siskinwharfd/src/entry_core.h
@@ -20,7 +20,7 @@
 /// What the threads of an entry process share. The members are safe for concurrent use.
 struct entry_core {
     entry_core(settings::settings configured, const routing::routing_options& options, monotonic_time started)
-        : settings(std::move(configured)), table(), router(table, options), sheets(started)
+        : settings(std::move(configured)), router(table, options), sheets(started)
     {
     }
 
