Entry: Run the lease, order and capacity planners in the entry process

The control loop competes for the lease of its failure domain and, as its holder, sends orders to the engines and the cloud API and reads reclaim notices. The lease is checked again immediately before each request that changes something.

--- /dev/null
+++ b/Services/siskinwharfd/src/control_loop.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "capacity_executor.h"
+#include "entry_core.h"
+#include "model_assignment.h"
+#include "order_endpoint.h"
+#include "siskinwharf/control/lease_holder.h"
+#include "siskinwharf/control/order_planner.h"
+#include "siskinwharf/http/client.h"
+#include "siskinwharf/platform/cloud_api.h"
+#include "siskinwharf/platform/table_store.h"
+
+namespace siskinwharf::entry {
+
+/// What the control loop acts through.
+struct control_ports {
+    std::unique_ptr<order_endpoint> endpoints;
+    std::unique_ptr<platform::cloud_api> cloud;
+    std::function<monotonic_time()> clock = now;
+};
+
+/// Competes for the lease of the own failure domain and, while it holds it, gives orders to the endpoints and
+/// to the cloud API and reads reclaim notices. Runs on the control thread.
+class control_loop {
+public:
+    using leaving_handler = std::function<void(std::map<endpoint_id, monotonic_time>)>;
+
+    /// `on_leaving` is called with instances that the cloud takes back and when each is gone.
+    control_loop(boost::asio::io_context& context, entry_core& core, platform::table_store& table,
+                 http::client& client, leaving_handler on_leaving);
+    control_loop(boost::asio::io_context& context, entry_core& core, platform::table_store& table,
+                 control_ports ports, leaving_handler on_leaving);
+
+    void start();
+    /// Takes in the instance list.
+    void update(const std::vector<platform::instance_record>& records) { m_records = records; }
+    /// Does what is due: brings the lease up to date, then starts due orders, plans and reads, which may
+    /// still run when this returns.
+    boost::asio::awaitable<void> step();
+    /// Fencing token while this process may give orders.
+    [[nodiscard]] std::optional<std::uint64_t> fencing() const;
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> run_lease();
+    boost::asio::awaitable<void> execute(control::send_order order, http::address target);
+    boost::asio::awaitable<void> execute(control::read_back query, http::address target);
+    boost::asio::awaitable<void> read_notices();
+    void note_lease();
+    void assign_orders();
+    void start_orders();
+    void start_capacity(std::uint64_t fencing);
+    void start_notices();
+    [[nodiscard]] bool may_order() const;
+
+    boost::asio::io_context& m_context;
+    entry_core& m_core;
+    platform::table_store& m_table;
+    control_ports m_ports;
+    leaving_handler m_on_leaving;
+    control::lease_holder m_lease;
+    control::order_planner m_orders{control::order_settings{}};
+    capacity_executor m_capacity;
+    std::vector<platform::instance_record> m_records;
+    std::map<endpoint_id, assigned_model> m_assigned;
+    std::optional<std::uint64_t> m_noted_fencing;
+    monotonic_time m_capacity_at;
+    monotonic_time m_notices_at;
+    std::uint64_t m_last_notice = 0;
+    bool m_is_planning_capacity = false;
+    bool m_is_reading_notices = false;
+    bool m_is_releasing = false;
+};
+
+} // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -59,10 +59,14 @@
               platform::platform_access{{m_core.settings.platform.ip, m_core.settings.platform.port},
                                         m_core.settings.instance.value()}),
       m_committer(m_control, m_table),
-      m_platform(m_control, m_core, m_client, [this](const std::map<endpoint_id, monotonic_time>& gone_at) {
-          for (auto& own : m_workers)
-              asio::post(own->context(), [&own, gone_at] { own->reclaims().on_leaving(gone_at); });
-      })
+      m_platform(m_control, m_core, m_client,
+                 [this](const std::map<endpoint_id, monotonic_time>& gone_at) {
+                     for (auto& own : m_workers)
+                         asio::post(own->context(), [&own, gone_at] { own->reclaims().on_leaving(gone_at); });
+                 }),
+      m_control_loop(
+          m_control, m_core, m_table, m_client,
+          [this](const std::map<endpoint_id, monotonic_time>& gone_at) { m_platform.announce(gone_at); })
 {
     const auto& settings = m_core.settings;
     std::optional<http::tls_files> tls;
@@ -89,6 +93,9 @@
         [this](http::request message, http::response_writer& writer) {
             return handle_admin(std::move(message), writer);
         });
+    m_platform.on_instances = [this](const auto& records) {
+        m_control_loop.update(records);
+    };
     m_core.report_endpoint = [this](const endpoint_id& endpoint, endpoint_report report) {
         asio::post(m_control, [this, endpoint, report] { m_platform.report(endpoint, report); });
     };
@@ -102,6 +109,7 @@
                                        {"failure_domain", m_core.settings.failure_domain.value()}});
     m_admin->start();
     m_platform.start();
+    m_control_loop.start();
     m_committer.start();
     for (std::size_t index = 0; index < m_workers.size(); ++index) {
         m_servers[index]->start();
--- a/Services/siskinwharfd/src/entry_process.h
+++ b/Services/siskinwharfd/src/entry_process.h
@@ -7,6 +7,7 @@
 
 #include "caller_api.h"
 #include "claim_committer.h"
+#include "control_loop.h"
 #include "entry_core.h"
 #include "platform_sync.h"
 #include "siskinwharf/http/server.h"
@@ -44,6 +45,7 @@
     std::vector<std::unique_ptr<caller_api>> m_apis;
     std::vector<std::unique_ptr<http::server>> m_servers;
     platform_sync m_platform;
+    control_loop m_control_loop;
     std::unique_ptr<http::server> m_admin;
 };
 
--- a/Services/siskinwharfd/src/platform_sync.cpp
+++ b/Services/siskinwharfd/src/platform_sync.cpp
@@ -131,8 +131,11 @@
 {
     while (true) {
         const auto result = co_await m_instances.read();
-        if (const auto* records = std::get_if<std::vector<platform::instance_record>>(&result))
+        if (const auto* records = std::get_if<std::vector<platform::instance_record>>(&result)) {
             apply_instances(*records);
+            if (on_instances)
+                on_instances(*records);
+        }
         const auto jitter = milliseconds(m_random() % 100);
         co_await wait_until(now() + instance_poll_period + jitter);
     }
@@ -196,4 +199,19 @@
         m_on_leaving({{endpoint, now() + assumed_notice}});
 }
 
+void platform_sync::announce(const std::map<endpoint_id, monotonic_time>& gone_at)
+{
+    std::map<endpoint_id, monotonic_time> leaving;
+    for (const auto& [endpoint, time] : gone_at) {
+        if (const auto started = m_started.find(endpoint); started != m_started.end())
+            m_departed[endpoint] = started->second;
+        if (m_core.table.mark_leaving({endpoint}) == 0)
+            continue;
+        log_event(event::endpoint_leaving, {{"endpoint", endpoint.value()}, {"source", "reclaim_notice"}});
+        leaving[endpoint] = time;
+    }
+    if (!leaving.empty())
+        m_on_leaving(std::move(leaving));
+}
+
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/platform_sync.h
+++ b/Services/siskinwharfd/src/platform_sync.h
@@ -26,6 +26,11 @@
     void start();
     /// Takes in what a request found out. Must be called on the control thread.
     void report(const endpoint_id& endpoint, endpoint_report report);
+    /// Takes in reclaim notices: when each endpoint is gone. Must be called on the control thread.
+    void announce(const std::map<endpoint_id, monotonic_time>& gone_at);
+
+    /// Called on the control thread with each instance list, if set.
+    std::function<void(const std::vector<platform::instance_record>&)> on_instances;
 
 private:
     boost::asio::awaitable<void> poll_sheet();
