Entry: Test the control loop against faults of its ports

Virtual time and fakes: a pause at each read of the clock, lost answers of the table and of orders, an engine that ignores the token, an outage of the table, refused and uncertain starts, reclaim notices.

--- /dev/null
+++ b/Services/siskinwharfd/tests/control_loop_fakes.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include <catch2/catch.hpp>
+#include <catch2/trompeloeil.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include "control_loop.h"
+#include "siskinwharf/control/lease_record.h"
+
+namespace siskinwharf::entry {
+
+/// An answer that arrives at once.
+template<typename Value>
+boost::asio::awaitable<Value> answer(Value value)
+{
+    co_return value;
+}
+
+/// A table with the faults of the table service.
+class fake_table final : public platform::table_store {
+public:
+    enum class fault { none, down, answer_lost, request_lost };
+
+    boost::asio::awaitable<platform::commit_result> commit(platform::table_transaction transaction) override
+    {
+        const auto current = std::exchange(next, next == fault::down ? fault::down : fault::none);
+        if (current == fault::down)
+            co_return platform::table_unavailable{};
+        if (current == fault::request_lost)
+            co_return platform::table_uncertain{};
+        const auto& write = transaction.writes.front();
+        const auto* version = std::get_if<platform::require_version>(&write.condition);
+        const bool holds = version == nullptr ? !row : row && row->version == version->version;
+        if (holds)
+            put(*write.value);
+        if (current == fault::answer_lost)
+            co_return platform::table_uncertain{};
+        if (holds)
+            co_return platform::table_committed{};
+        platform::table_conflict conflict;
+        conflict.rows.push_back({0, row});
+        co_return conflict;
+    }
+    boost::asio::awaitable<platform::read_result> read(std::string key) override
+    {
+        CHECK(key == "lease/d1");
+        if (next == fault::down)
+            co_return platform::table_unavailable{};
+        co_return row;
+    }
+    void put(const std::string& value) { row = {"lease/d1", value, row ? row->version + 1 : 1}; }
+
+    std::optional<platform::table_row> row;
+    fault next = fault::none;
+};
+
+class mock_endpoint final : public order_endpoint {
+public:
+    MAKE_MOCK2(send, boost::asio::awaitable<control::order_result>(http::address, control::send_order),
+               override);
+    MAKE_MOCK1(read_back,
+               boost::asio::awaitable<std::optional<control::endpoint_configuration>>(http::address),
+               override);
+};
+
+class mock_cloud final : public platform::cloud_api {
+public:
+    MAKE_MOCK0(offers, boost::asio::awaitable<platform::offers_result>(), override);
+    MAKE_MOCK0(instances, boost::asio::awaitable<platform::instances_result>(), override);
+    MAKE_MOCK1(start, boost::asio::awaitable<platform::start_result>(platform::start_request), override);
+    MAKE_MOCK1(stop, boost::asio::awaitable<platform::stop_result>(instance_id), override);
+    MAKE_MOCK1(notices, boost::asio::awaitable<platform::notices_result>(std::uint64_t), override);
+};
+
+/// A control loop of failure domain `d1` in virtual time, with one engine whose configuration is `has`.
+class loop_fixture {
+public:
+    explicit loop_fixture(const std::string& fencing = "checked");
+
+    void step();
+    /// Steps every 100 ms of virtual time.
+    void run_for(nanoseconds duration);
+    /// Another process takes the lease over.
+    void take_over() { table.put(control::encode({"other", 9, 1})); }
+
+    monotonic_time time{seconds(1'000)};
+    /// At this read of the clock, counted from 1, the process is paused for longer than any lease.
+    std::size_t pause_at = 0;
+    std::size_t clock_reads = 0;
+    bool was_paused = false;
+
+    fake_table table;
+    std::optional<control::endpoint_configuration> has;
+    std::vector<control::send_order> sent;
+    std::vector<bool> sent_after_pause;
+    /// What the engine answers; it takes an order unless it refuses it.
+    control::order_result order_answer = control::order_accepted{};
+    platform::notices_result notices = platform::notice_page{};
+    std::vector<std::uint64_t> notices_after;
+    platform::offers_result offers = std::vector<platform::cloud_offer>{};
+    platform::instances_result instances = std::vector<platform::cloud_instance>{};
+    platform::start_result start_answer = platform::cloud_unavailable{};
+    std::vector<platform::start_request> started;
+    std::vector<instance_id> stopped;
+    std::map<endpoint_id, monotonic_time> leaving;
+
+private:
+    monotonic_time read_clock();
+    control::order_result take(const control::send_order& order);
+
+    boost::asio::io_context m_context;
+    entry_core m_core;
+    std::vector<std::unique_ptr<trompeloeil::expectation>> m_expectations;
+
+public:
+    std::unique_ptr<control_loop> loop;
+};
+
+[[nodiscard]] control::endpoint_configuration configuration(const std::string& version);
+[[nodiscard]] platform::instance_record engine_record();
+
+} // namespace siskinwharf::entry
--- /dev/null
+++ b/Services/siskinwharfd/tests/control_loop_test.cpp
@@ -0,0 +1,180 @@
+#include "control_loop_fakes.h"
+
+namespace siskinwharf::entry {
+
+TEST_CASE("an order is sent once and read back, and nothing is sent while it is in force")
+{
+    loop_fixture fixture;
+    fixture.run_for(seconds(120));
+    REQUIRE(fixture.sent.size() == 1);
+    CHECK(fixture.sent.front().fencing == 1);
+    CHECK((fixture.sent.front().wanted == configuration("v2")));
+    CHECK(fixture.loop->fencing() == 1U);
+}
+
+TEST_CASE("a holder that was paused at any point sends no order with its old token")
+{
+    // Guards against a check of the lease that is made too early, or against the time before the pause.
+    loop_fixture unpaused;
+    unpaused.run_for(seconds(1));
+    REQUIRE(unpaused.sent.size() == 1);
+    for (std::size_t pause_at = 1; pause_at <= unpaused.clock_reads; ++pause_at) {
+        INFO("paused at clock read " << pause_at);
+        loop_fixture fixture;
+        fixture.pause_at = pause_at;
+        fixture.run_for(seconds(90));
+        REQUIRE(fixture.was_paused);
+        for (std::size_t index = 0; index < fixture.sent.size(); ++index) {
+            if (fixture.sent_after_pause[index])
+                CHECK(fixture.sent[index].fencing > 9);
+        }
+    }
+}
+
+TEST_CASE("a lost answer of the table leads neither to two holders nor to a lost lease")
+{
+    struct row {
+        const char* name = "";
+        fake_table::fault fault = fake_table::fault::none;
+    };
+    const row rows[] = {
+        {"answer lost after the write", fake_table::fault::answer_lost},
+        {"request lost", fake_table::fault::request_lost},
+    };
+    for (const auto& [name, fault] : rows) {
+        INFO(name);
+        loop_fixture fixture;
+        fixture.table.next = fault;
+        fixture.run_for(seconds(30));
+        CHECK(fixture.loop->fencing() == 1U);
+        CHECK(fixture.sent.size() == 1);
+        // The answer to a renewal is lost.
+        fixture.table.next = fault;
+        fixture.run_for(seconds(30));
+        CHECK(fixture.loop->fencing() == 1U);
+        CHECK(fixture.sent.size() == 1);
+    }
+}
+
+TEST_CASE("an order whose answer was lost is read back instead of being repeated")
+{
+    loop_fixture fixture;
+    fixture.order_answer = control::order_uncertain{};
+    fixture.run_for(seconds(60));
+    CHECK(fixture.sent.size() == 1);
+}
+
+TEST_CASE("a delayed order of an earlier holder is corrected at an endpoint that ignores the token")
+{
+    loop_fixture fixture("ignored");
+    fixture.run_for(seconds(20));
+    REQUIRE(fixture.sent.size() == 1);
+    fixture.has = configuration("v1");
+    fixture.run_for(seconds(6));
+    CHECK(fixture.sent.size() == 2);
+    CHECK((fixture.has == configuration("v2")));
+}
+
+TEST_CASE("a refused token ends the orders of a holder whose lease was taken over")
+{
+    loop_fixture fixture;
+    fixture.order_answer = control::order_refused_stale{9};
+    fixture.step();
+    fixture.take_over();
+    fixture.run_for(seconds(10));
+    CHECK(fixture.sent.size() == 1);
+    CHECK_FALSE(fixture.loop->fencing());
+}
+
+TEST_CASE("no orders are given while the table is unavailable, and they go on afterwards")
+{
+    loop_fixture fixture("ignored");
+    fixture.offers = std::vector<platform::cloud_offer>{
+        {"small", failure_domain_id("d1"), platform::purchase_kind::on_demand, 1, 4}};
+    fixture.run_for(seconds(5));
+    REQUIRE(fixture.sent.size() == 1);
+    fixture.table.next = fake_table::fault::down;
+    // The outage is noticed by the next renewal, 3 s after the last one.
+    fixture.run_for(seconds(4));
+    fixture.has = configuration("v1");
+    fixture.loop->update({});
+    fixture.run_for(seconds(60));
+    fixture.loop->update({engine_record()});
+    fixture.run_for(seconds(60));
+    CHECK(fixture.sent.size() == 1);
+    CHECK(fixture.started.empty());
+    CHECK_FALSE(fixture.loop->fencing());
+    fixture.table.next = fake_table::fault::none;
+    fixture.run_for(seconds(10));
+    CHECK(fixture.sent.size() == 2);
+}
+
+TEST_CASE("reclaim notices are handed over with the time when the instance is gone")
+{
+    struct row {
+        const char* name = "";
+        bool is_holder = true;
+        bool is_table_down = false;
+        milliseconds leaves_in{0};
+        bool expected = false;
+    };
+    const row rows[] = {
+        {"notice in time", true, false, milliseconds(30'000), true},
+        {"notice of an instance that is gone, whose id may be in use again", true, false, milliseconds(0),
+         false},
+        {"table down, the last holder reads on", true, true, milliseconds(30'000), true},
+        {"another process holds the lease", false, false, milliseconds(30'000), false},
+    };
+    for (const auto& [name, is_holder, is_table_down, leaves_in, expected] : rows) {
+        INFO(name);
+        loop_fixture fixture;
+        if (!is_holder)
+            fixture.take_over();
+        fixture.run_for(seconds(2));
+        if (is_table_down)
+            fixture.table.next = fake_table::fault::down;
+        fixture.run_for(seconds(6));
+        platform::notice_page page;
+        page.notices.push_back({7, instance_id("m-1"), leaves_in});
+        page.last = 7;
+        fixture.notices = page;
+        const auto announced_at = fixture.time;
+        fixture.run_for(seconds(1));
+        REQUIRE(fixture.leaving.size() == (expected ? 1 : 0));
+        if (expected) {
+            const auto gone_at = fixture.leaving.at(endpoint_id("m-1"));
+            CHECK(gone_at >= announced_at + leaves_in);
+            CHECK(gone_at <= fixture.time + leaves_in);
+            CHECK(fixture.notices_after.back() == 7);
+        }
+    }
+}
+
+TEST_CASE("a start with an unknown outcome is repeated with its client token")
+{
+    // Guards against two instances for one missing replica.
+    loop_fixture fixture;
+    fixture.loop->update({});
+    fixture.offers = std::vector<platform::cloud_offer>{
+        {"small", failure_domain_id("d1"), platform::purchase_kind::on_demand, 1, 16}};
+    fixture.start_answer = platform::cloud_uncertain{};
+    fixture.run_for(seconds(12));
+    REQUIRE(fixture.started.size() >= 2);
+    for (const auto& request : fixture.started)
+        CHECK(request.client_token == fixture.started.front().client_token);
+}
+
+TEST_CASE("a refused start is not repeated before its backoff has passed")
+{
+    loop_fixture fixture;
+    fixture.loop->update({});
+    fixture.offers = std::vector<platform::cloud_offer>{
+        {"small", failure_domain_id("d1"), platform::purchase_kind::on_demand, 1, 16}};
+    fixture.start_answer = platform::cloud_refused{platform::cloud_refusal::no_capacity};
+    fixture.run_for(seconds(50));
+    CHECK(fixture.started.size() == 1);
+    fixture.run_for(seconds(20));
+    CHECK(fixture.started.size() == 2);
+}
+
+} // namespace siskinwharf::entry
