Entry: Test a pause between two orders of one step

Without the check of the lease before each order, the second one would be sent with an expired lease; the former test did not reach that point.

--- a/Services/siskinwharfd/tests/control_loop_fakes.cpp
+++ b/Services/siskinwharfd/tests/control_loop_fakes.cpp
@@ -35,10 +35,10 @@
     return {model_id("m"), version, {}, "both"};
 }
 
-platform::instance_record engine_record()
+platform::instance_record engine_record(const std::string& id)
 {
     platform::instance_record record;
-    record.id = instance_id("m-1");
+    record.id = instance_id(id);
     record.domain = failure_domain_id("d1");
     record.serves = platform::serves_model{model_id("m"), "v1"};
     record.capacity = 8;
@@ -88,6 +88,8 @@
 {
     sent.push_back(order);
     sent_after_pause.push_back(was_paused);
+    // A pause may also come between this order and the next one of the same step.
+    read_clock();
     if (!std::holds_alternative<control::order_refused_stale>(order_answer) &&
         !std::holds_alternative<control::order_refused>(order_answer))
         has = order.wanted;
--- a/Services/siskinwharfd/tests/control_loop_fakes.h
+++ b/Services/siskinwharfd/tests/control_loop_fakes.h
@@ -124,6 +124,6 @@
 };
 
 [[nodiscard]] control::endpoint_configuration configuration(const std::string& version);
-[[nodiscard]] platform::instance_record engine_record();
+[[nodiscard]] platform::instance_record engine_record(const std::string& id = "m-1");
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/tests/control_loop_test.cpp
+++ b/Services/siskinwharfd/tests/control_loop_test.cpp
@@ -16,11 +16,13 @@
 {
     // Guards against a check of the lease that is made too early, or against the time before the pause.
     loop_fixture unpaused;
+    unpaused.loop->update({engine_record("m-1"), engine_record("m-2")});
     unpaused.run_for(seconds(1));
-    REQUIRE(unpaused.sent.size() == 1);
+    REQUIRE(unpaused.sent.size() == 2);
     for (std::size_t pause_at = 1; pause_at <= unpaused.clock_reads; ++pause_at) {
         INFO("paused at clock read " << pause_at);
         loop_fixture fixture;
+        fixture.loop->update({engine_record("m-1"), engine_record("m-2")});
         fixture.pause_at = pause_at;
         fixture.run_for(seconds(90));
         REQUIRE(fixture.was_paused);
