--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -52,7 +52,7 @@
 
 } // namespace
 
-entry_process::entry_process(settings::settings configured)
+entry_process::entry_process(const settings::settings& configured)
     : m_core(configured, options_of(configured), now()),
       m_client(m_control.get_executor()),
       m_table(m_client,
--- a/Services/siskinwharfd/src/entry_process.h
+++ b/Services/siskinwharfd/src/entry_process.h
@@ -19,7 +19,7 @@
 class entry_process {
 public:
     /// Opens the listeners. Throws `http::listen_error`.
-    explicit entry_process(settings::settings configured);
+    explicit entry_process(const settings::settings& configured);
     entry_process(const entry_process&) = delete;
     entry_process& operator=(const entry_process&) = delete;
     entry_process(entry_process&&) = delete;
