--- a/Services/siskinwharfd/src/main.cpp
+++ b/Services/siskinwharfd/src/main.cpp
@@ -71,7 +71,7 @@
         auto settings = settings::load_settings(text);
         if (line.check_only)
             return EXIT_SUCCESS;
-        entry::entry_process process(std::move(settings));
+        entry::entry_process process(settings);
         process.run();
         return EXIT_SUCCESS;
     } catch (const settings::settings_error& error) {
