--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -55,7 +55,7 @@
 
 } // namespace
 
-entry_process::entry_process(settings::settings configured)
+entry_process::entry_process(const settings::settings& configured)
     : m_core(configured, options_of(configured), now()),
       m_client(m_control.get_executor()),
       m_table(m_client,
@@ -63,7 +63,10 @@
                                         m_core.settings.instance.value()}),
       m_committer(m_control, m_table),
       m_platform(m_control, m_core, m_client, make_observer()),
-      m_peers(std::make_shared<peer_node>(m_control, m_core, m_client, m_committer, make_peer_callbacks()))
+      m_peers(std::make_shared<peer_node>(m_control, m_core, m_client, m_committer, make_peer_callbacks())),
+      m_control_loop(
+          m_control, m_core, m_table, m_client,
+          [this](const std::map<endpoint_id, monotonic_time>& gone_at) { m_platform.announce(gone_at); })
 {
     const auto& settings = m_core.settings;
     std::optional<http::tls_files> tls;
@@ -109,6 +112,7 @@
     };
     result.on_instances = [this](const std::vector<platform::instance_record>& records) {
         m_peers->apply_instances(records);
+        m_control_loop.update(records);
         note_entry_instances(records);
     };
     result.announce = [this](const std::vector<peer::endpoint_notice>& notices) {
@@ -226,6 +230,7 @@
     m_admin->start();
     m_peers->start();
     m_platform.start();
+    m_control_loop.start();
     m_committer.start();
     for (std::size_t index = 0; index < m_workers.size(); ++index) {
         m_servers[index]->start();
--- a/Services/siskinwharfd/src/entry_process.h
+++ b/Services/siskinwharfd/src/entry_process.h
@@ -9,6 +9,7 @@
 
 #include "caller_api.h"
 #include "claim_committer.h"
+#include "control_loop.h"
 #include "entry_core.h"
 #include "peer_node.h"
 #include "platform_sync.h"
@@ -21,7 +22,7 @@
 class entry_process {
 public:
     /// Opens the listeners. Throws `http::listen_error`.
-    explicit entry_process(settings::settings configured);
+    explicit entry_process(const settings::settings& configured);
     entry_process(const entry_process&) = delete;
     entry_process& operator=(const entry_process&) = delete;
     entry_process(entry_process&&) = delete;
@@ -61,6 +62,7 @@
     platform_sync m_platform;
     std::shared_ptr<peer_node> m_peers;
     std::map<instance_id, http::address> m_entry_addresses;
+    control_loop m_control_loop;
     std::unique_ptr<http::server> m_admin;
 };
 
--- a/Services/siskinwharfd/src/platform_sync.cpp
+++ b/Services/siskinwharfd/src/platform_sync.cpp
@@ -154,8 +154,9 @@
 {
     while (true) {
         const auto result = co_await m_instances.read();
-        if (const auto* records = std::get_if<std::vector<platform::instance_record>>(&result))
+        if (const auto* records = std::get_if<std::vector<platform::instance_record>>(&result)) {
             apply_instances(*records);
+        }
         const auto jitter = milliseconds(m_random() % 100);
         co_await wait_until(now() + instance_poll_period + jitter);
     }
@@ -270,4 +271,13 @@
                        : m_directory.probe_failed(now(), endpoint));
 }
 
+void platform_sync::announce(const std::map<endpoint_id, monotonic_time>& gone_at)
+{
+    for (const auto& [endpoint, time] : gone_at) {
+        m_gone_at[endpoint] = time;
+        carry_out(m_directory.report_leaving(now(), endpoint, membership::endpoint_source::reclaim_notice,
+                                             unix_milliseconds()));
+    }
+}
+
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/platform_sync.h
+++ b/Services/siskinwharfd/src/platform_sync.h
@@ -44,6 +44,8 @@
     void probe_ended(const endpoint_id& endpoint, bool answered);
     /// Endpoints of the own failure domain that are leaving or dead.
     [[nodiscard]] std::vector<peer::endpoint_notice> departed() const { return m_directory.departed(); }
+    /// Takes in reclaim notices: when each endpoint is gone. Must be called on the control thread.
+    void announce(const std::map<endpoint_id, monotonic_time>& gone_at);
 
 private:
     boost::asio::awaitable<void> poll_sheet();
