--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -3,6 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 Meta/check-format.sh
+Meta/check-events.py
 Meta/generate-peer.sh --check
 cmake -S . -B build -G Ninja >/dev/null
 cmake --build build
