Entry: Admit requests through a fair queue with deadlines and a retry budget

Requests waited for a slot by polling every 10 ms, in no order, and a request that every endpoint refused as full was refused as no_endpoint at once. A refusal as full no longer counts as an attempt; the wait limit and the retry budget bound it.

--- a/Services/siskinwharfd/src/caller_api.cpp
+++ b/Services/siskinwharfd/src/caller_api.cpp
@@ -181,6 +181,7 @@
     spec.received = now();
     spec.deadline = spec.received + deadline_of(message);
     spec.first_token_target = grant->first_token;
+    spec.share = account.share;
     if (const auto id = message.find_header("Siskinwharf-Request-Id")) {
         if (!is_request_id(*id))
             throw request_refused({refusal_type::malformed,
--- a/Services/siskinwharfd/src/entry_core.h
+++ b/Services/siskinwharfd/src/entry_core.h
@@ -3,6 +3,8 @@
 #include <atomic>
 #include <functional>
 
+#include "admission_gate.h"
+#include "siskinwharf/admission/retry_budget.h"
 #include "siskinwharf/base/time.h"
 #include "siskinwharf/routing/router.h"
 #include "siskinwharf/routing/routing_table.h"
@@ -20,13 +22,18 @@
 /// What the threads of an entry process share. The members are safe for concurrent use.
 struct entry_core {
     entry_core(settings::settings configured, const routing::routing_options& options, monotonic_time started)
-        : settings(std::move(configured)), table(), router(table, options), sheets(started)
+        : settings(std::move(configured)),
+          router(table, options),
+          gate(router, table, settings.limits.queue_length_per_account),
+          sheets(started)
     {
     }
 
     const settings::settings settings;
     routing::routing_table table;
     routing::router router;
+    admission_gate gate;
+    admission::retry_budget retries{admission::retry_limits{}};
     sheet::sheet_register sheets;
     /// A planned stop began: readiness fails and no new request is taken.
     std::atomic<bool> stopping{false};
--- a/Services/siskinwharfd/src/live_request.h
+++ b/Services/siskinwharfd/src/live_request.h
@@ -32,6 +32,7 @@
     monotonic_time received;
     monotonic_time deadline;
     milliseconds first_token_target{0};
+    std::uint32_t share = 1; ///< Weight of the account in the fair queue.
 };
 
 /// Tells the runner to leave an endpoint that is being reclaimed.
--- a/Services/siskinwharfd/src/model_runner.cpp
+++ b/Services/siskinwharfd/src/model_runner.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include "attempt_ends.h"
 #include "request_refused.h"
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/serving/chat_request.h"
@@ -27,8 +28,11 @@
 constexpr milliseconds first_token_silence{10'000};
 constexpr milliseconds token_silence{3'000};
 constexpr milliseconds export_timeout{5'000};
-/// Pause before a request that found every endpoint full looks again.
-constexpr milliseconds slot_poll_period{10};
+/// Pause before a request that every endpoint refused as full asks them again. Slots that other entry
+/// processes free are not announced, and a refusal costs the endpoint little.
+constexpr milliseconds refused_pause{50};
+constexpr milliseconds retry_budget_pause{50};
+constexpr milliseconds retry_budget_retry_after{1'000};
 /// How long a request waits for a free slot or a first endpoint before it is refused.
 constexpr milliseconds longest_wait_for_slot{1'500};
 /// Callers come back to resume within seconds; after that, generating on would only cost.
@@ -59,59 +63,6 @@
     return message;
 }
 
-std::string error_of(const std::string& lines)
-{
-    boost::system::error_code error;
-    const auto document = boost::json::parse(lines, error);
-    if (error || !document.is_object())
-        return {};
-    const auto* text = document.get_object().if_contains("error");
-    return text != nullptr && text->is_string() ? std::string(text->get_string()) : std::string{};
-}
-
-/// Maps the status of a refused stream to the end of the attempt.
-attempt_end end_of_refusal(int status, const std::string& error)
-{
-    if (status == 409 && error == "leaving")
-        return attempt_end::refused_leaving;
-    if (status == 404)
-        return attempt_end::refused_model;
-    if (status == 429 || status == 503)
-        return attempt_end::refused_full;
-    if (status >= 400 && status < 500)
-        return attempt_end::rejected;
-    return attempt_end::refused_full;
-}
-
-std::string_view to_text(attempt_end end)
-{
-    switch (end) {
-    case attempt_end::completed:
-        return "completed";
-    case attempt_end::refused_leaving:
-        return "refused_leaving";
-    case attempt_end::refused_full:
-        return "refused_full";
-    case attempt_end::refused_model:
-        return "refused_model";
-    case attempt_end::unreachable:
-        return "unreachable";
-    case attempt_end::connection_lost:
-        return "connection_lost";
-    case attempt_end::endpoint_lost:
-        return "endpoint_lost";
-    case attempt_end::endpoint_stalled:
-        return "endpoint_stalled";
-    case attempt_end::stream_missing:
-        return "stream_missing";
-    case attempt_end::move_requested:
-        return "move_requested";
-    case attempt_end::rejected:
-        return "rejected";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 model_runner::model_runner(entry_core& core, http::client& client, std::shared_ptr<live_request> request)
@@ -123,6 +74,12 @@
       m_prompt_tokens(serving::count_tokens(m_request->spec().prompt))
 {
     m_history.deadline = m_request->spec().deadline;
+    m_slot_limit = slot_limit();
+}
+
+monotonic_time model_runner::slot_limit() const
+{
+    return std::min(now() + longest_wait_for_slot, m_history.deadline);
 }
 
 asio::awaitable<void> model_runner::run()
@@ -139,8 +96,10 @@
 
 asio::awaitable<void> model_runner::run_attempts()
 {
+    m_core.retries.on_first_attempt();
     while (true) {
         auto chosen = co_await acquire();
+        const auto acquired_at = now();
         const auto endpoint = chosen.endpoint;
         ++m_history.attempts;
         const bool imports = endpoint->id == m_planned_target && !m_exported_kv.empty();
@@ -148,6 +107,9 @@
                            : co_await run_attempt(chosen);
         m_planned_target = {};
         m_exported_kv.clear();
+        // A full endpoint has not tried the request; the time limit bounds how often it is asked.
+        if (end == attempt_end::refused_full)
+            --m_history.attempts;
         auto step = serving::decide_next_step(end, m_history, now());
         while (const auto* resume = std::get_if<serving::resume_stream>(&step)) {
             ++m_history.resumes_without_progress;
@@ -155,7 +117,7 @@
             end = co_await resume_attempt(chosen);
             step = serving::decide_next_step(end, m_history, now());
         }
-        chosen.guard.release(now());
+        release(chosen, acquired_at);
         if (std::holds_alternative<serving::deliver_end>(step)) {
             m_request->finish();
             co_return;
@@ -164,30 +126,75 @@
             co_await cancel_at(endpoint);
             throw request_refused(failure_for(*reason));
         }
-        apply(std::get<serving::continue_elsewhere>(step), *endpoint, end);
+        const auto& next = std::get<serving::continue_elsewhere>(step);
+        apply(next, *endpoint, end);
         if (end == attempt_end::move_requested)
             co_await prepare_move();
         m_request->detach();
+        if (next.needs_retry_budget && !m_history.accepted)
+            co_await wait_for_retry();
+    }
+}
+
+void model_runner::release(routing::chosen_endpoint& chosen, monotonic_time acquired_at)
+{
+    const auto& spec = m_request->spec();
+    const auto time = now();
+    slot_usage usage;
+    usage.held = time - acquired_at;
+    usage.tokens_per_second = m_request->tokens_per_second();
+    if (m_request->assembler().complete())
+        usage.share_of_maximum = static_cast<double>(m_request->tokens().size()) / spec.max_tokens;
+    chosen.guard.release(time);
+    const routing::target target = routing::model_target{spec.model, spec.version};
+    m_core.gate.on_release(target, usage);
+}
+
+asio::awaitable<void> model_runner::wait_for_retry()
+{
+    // Waiting costs the endpoints nothing, and other requests fill the budget meanwhile.
+    while (!m_core.retries.try_retry()) {
+        if (now() >= m_slot_limit)
+            throw request_refused({http::refusal_type::retry_budget_exhausted,
+                                   "too many requests are being retried", outcome::not_run,
+                                   retry_budget_retry_after});
+        co_await pause_for(retry_budget_pause);
     }
 }
 
 asio::awaitable<routing::chosen_endpoint> model_runner::acquire()
 {
-    const auto give_up_at = now() + longest_wait_for_slot;
     while (true) {
         if (auto planned = take_planned_target())
             co_return std::move(*planned);
-        auto decision = m_core.router.choose(make_routing_request(), now());
+        const auto limit = m_history.accepted ? m_history.deadline : m_slot_limit;
+        if (m_refused_full && now() >= limit)
+            throw request_refused(refusal_for(routing::no_endpoint::all_full));
+        slot_request wanted;
+        wanted.routing = make_routing_request();
+        wanted.share = m_request->spec().share;
+        wanted.deadline = m_history.deadline;
+        wanted.give_up_at = limit;
+        const bool had_turn = m_history.attempts > 0 || !m_excluded.empty() || m_refused_full;
+        if (m_history.accepted)
+            wanted.priority = slot_priority::accepted;
+        else if (had_turn)
+            wanted.priority = slot_priority::retry;
+        auto decision = co_await m_core.gate.acquire(std::move(wanted));
         if (auto* chosen = std::get_if<routing::chosen_endpoint>(&decision))
             co_return std::move(*chosen);
+        if (const auto* refusal = std::get_if<http::refusal>(&decision))
+            throw request_refused(*refusal);
         const auto reason = std::get<routing::no_endpoint>(decision);
-        if (reason == routing::no_endpoint::no_endpoint_for_target && !m_excluded.empty())
+        const bool all_excluded =
+            reason == routing::no_endpoint::no_endpoint_for_target && !m_excluded.empty();
+        if (all_excluded)
             m_excluded.clear();
-        const bool waits = m_history.accepted || reason == routing::no_endpoint::all_full;
-        const auto limit = m_history.accepted ? m_history.deadline : give_up_at;
+        const bool waits = m_history.accepted || reason == routing::no_endpoint::all_full ||
+                           (all_excluded && m_refused_full);
         if (!waits || now() >= limit)
-            throw request_refused(refusal_for(reason));
-        co_await pause_for(slot_poll_period);
+            throw request_refused(refusal_for(m_refused_full ? routing::no_endpoint::all_full : reason));
+        co_await pause_for(refused_pause);
     }
 }
 
@@ -256,7 +263,7 @@
     boost::json::object body;
     body["stream_id"] = stream_id_of(m_request->spec());
     body["attempt"] = m_request->assembler().begin_attempt();
-    body["kv"] = std::move(kv);
+    body["kv"] = kv;
     body["offset"] = m_request->tokens().size();
     auto message = get_request("POST", "/streams/import", "", boost::json::serialize(body));
     m_request->attach(chosen.endpoint, nullptr);
@@ -275,7 +282,7 @@
     try {
         if (stream.status() != 200) {
             lines = co_await stream.next_lines(header_timeout);
-            co_return end_of_refusal(stream.status(), error_of(lines));
+            co_return end_of_refusal(stream.status(), lines);
         }
         m_request->attach(chosen.endpoint, &stream);
         m_history.accepted = true;
@@ -381,6 +388,10 @@
         m_core.report_endpoint(endpoint.id, endpoint_report::leaving);
     if (end == attempt_end::endpoint_lost && m_core.report_endpoint)
         m_core.report_endpoint(endpoint.id, endpoint_report::dead);
+    m_refused_full = end == attempt_end::refused_full;
+    // The limit runs from the end of the last attempt that an endpoint took.
+    if (!m_refused_full)
+        m_slot_limit = slot_limit();
     if (step.exclude_endpoint)
         m_excluded.push_back(endpoint.id);
     m_history.resumes_without_progress = 0;
--- a/Services/siskinwharfd/src/model_runner.h
+++ b/Services/siskinwharfd/src/model_runner.h
@@ -38,6 +38,11 @@
     /// Tells an endpoint that its stream is not wanted any more.
     boost::asio::awaitable<void> cancel_at(std::shared_ptr<const routing::endpoint_info> endpoint);
 
+    [[nodiscard]] monotonic_time slot_limit() const;
+    /// Waits until the budget allows the retry. Throws `request_refused`.
+    boost::asio::awaitable<void> wait_for_retry();
+    /// Frees the slot and tells the gate.
+    void release(routing::chosen_endpoint& chosen, monotonic_time acquired_at);
     /// The endpoint that the reclaim plan chose, if it still has a slot.
     [[nodiscard]] std::optional<routing::chosen_endpoint> take_planned_target();
     void take_lines(const std::string& lines, bool& ended);
@@ -54,6 +59,10 @@
     std::uint64_t m_prompt_tokens = 0;
     serving::attempt_history m_history;
     std::vector<endpoint_id> m_excluded;
+    /// The last attempt was refused by a full endpoint.
+    bool m_refused_full = false;
+    /// When a request that is not accepted gives up waiting for a slot.
+    monotonic_time m_slot_limit{};
     /// Endpoint that the reclaim plan chose for the next attempt, and the KV cache that was exported for it,
     /// if any.
     endpoint_id m_planned_target;
--- /dev/null
+++ b/Services/siskinwharfd/tests/fake_engine.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "siskinwharf/http/server.h"
+
+namespace siskinwharf::entry {
+
+/// A model engine in the test's own I/O context, which answers as the test says.
+class fake_engine {
+public:
+    /// `script` answers the streams; its argument counts them from 0.
+    fake_engine(boost::asio::io_context& context, std::function<http::response(int)> script)
+        : m_script(std::move(script)),
+          m_server(context, http::address{"127.0.0.1", 0}, http::server_limits{},
+                   [this](http::request message, http::response_writer& writer) {
+                       return answer(std::move(message), writer);
+                   })
+    {
+        m_server.start();
+    }
+
+    [[nodiscard]] unsigned short port() const { return m_server.port(); }
+    [[nodiscard]] int streams() const { return m_streams; }
+
+    static http::response whole_answer()
+    {
+        return {
+            200,
+            {{"Content-Type", "application/x-ndjson"}},
+            "{\"offset\":0,\"token\":\"a\"}\n{\"offset\":1,\"token\":\"b\"}\n{\"done\":true,\"offset\":2}\n"};
+    }
+
+private:
+    boost::asio::awaitable<void> answer(http::request message, http::response_writer& writer)
+    {
+        http::response reply{200, {}, "{}"};
+        if (message.method == "POST" && message.path == "/streams")
+            reply = m_script(m_streams++);
+        co_await writer.send(std::move(reply));
+    }
+
+    std::function<http::response(int)> m_script;
+    int m_streams = 0;
+    http::server m_server;
+};
+
+} // namespace siskinwharf::entry
