Entry: Quarantine requests that crash endpoints

Requests of an endpoint that died without notice run isolated, and are refused after the second crash. Reservations are kept beside the routing table, because the control thread writes the endpoint states and a concurrent change could undo a leaving mark.

--- a/Services/siskinwharfd/src/admission_gate.cpp
+++ b/Services/siskinwharfd/src/admission_gate.cpp
@@ -141,8 +141,8 @@
 };
 
 admission_gate::admission_gate(routing::router& router, const routing::routing_table& table,
-                               std::size_t queue_length)
-    : m_router(router), m_table(table), m_queue_length(queue_length)
+                               const suspect_isolation& isolation, std::size_t queue_length)
+    : m_router(router), m_table(table), m_isolation(isolation), m_queue_length(queue_length)
 {
 }
 
@@ -151,7 +151,7 @@
 asio::awaitable<slot_decision> admission_gate::acquire(slot_request request)
 {
     if (statistics_of(request.routing.serves).waiting == 0) {
-        auto decision = m_router.choose(request.routing, now());
+        auto decision = choose(request.routing);
         const auto* reason = std::get_if<routing::no_endpoint>(&decision);
         if (reason == nullptr || *reason != routing::no_endpoint::all_full)
             co_return check(std::move(decision), request);
@@ -203,6 +203,21 @@
     return queue;
 }
 
+routing::routing_decision admission_gate::choose(const routing::routing_request& request)
+{
+    if (!m_isolation.any_reserved())
+        return m_router.choose(request, now());
+    auto restricted = request;
+    const auto reserved = m_isolation.reserved(request.serves);
+    restricted.excluded.insert(restricted.excluded.end(), reserved.begin(), reserved.end());
+    auto decision = m_router.choose(restricted, now());
+    const auto* reason = std::get_if<routing::no_endpoint>(&decision);
+    // The reserved endpoints become free again, so the request waits like one that finds all of them full.
+    if (reason != nullptr && !reserved.empty() && *reason == routing::no_endpoint::no_endpoint_for_target)
+        return routing::no_endpoint::all_full;
+    return decision;
+}
+
 slot_decision admission_gate::check(routing::routing_decision decision, const slot_request& request)
 {
     if (const auto* reason = std::get_if<routing::no_endpoint>(&decision))
@@ -212,21 +227,21 @@
         return std::move(chosen);
     admission::admission_estimate expected;
     // The router has compared the first token with its target.
-    expected.decode = decode_time(request);
+    expected.decode = decode_time(request.routing);
     if (auto refusal = judge(request, expected, false))
         return std::move(*refusal);
     return std::move(chosen);
 }
 
-milliseconds admission_gate::decode_time(const slot_request& request)
+milliseconds admission_gate::decode_time(const routing::routing_request& request)
 {
-    const auto& statistics = statistics_of(request.routing.serves);
+    const auto& statistics = statistics_of(request.serves);
     const monotonic_time sampled_at{nanoseconds(statistics.sampled_at)};
     const double rate = statistics.tokens_per_second;
     if (rate <= 0 || now() - sampled_at > sample_lifetime)
         return milliseconds(0);
     // Callers set the maximum far above the length of their answers.
-    const double tokens = statistics.share_of_maximum * request.routing.output_tokens;
+    const double tokens = statistics.share_of_maximum * request.output_tokens;
     return milliseconds(static_cast<std::int64_t>(1'000 * tokens / rate));
 }
 
@@ -272,7 +287,7 @@
 
 bool admission_gate::offer(waiter& candidate)
 {
-    auto decision = m_router.choose(candidate.request.routing, now());
+    auto decision = choose(candidate.request.routing);
     const auto* reason = std::get_if<routing::no_endpoint>(&decision);
     if (reason != nullptr && *reason == routing::no_endpoint::all_full)
         return false;
@@ -332,7 +347,7 @@
     if (prefill_rate > 0)
         result.prefill =
             milliseconds(static_cast<std::int64_t>(1'000.0 * request.routing.prompt_tokens / prefill_rate));
-    result.decode = decode_time(request);
+    result.decode = decode_time(request.routing);
     // The account waits for its own requests, each with as many of others as the weights allow, but for no
     // more than all that wait.
     const double all = static_cast<double>(queue.waiters.size()) + 1;
--- a/Services/siskinwharfd/src/admission_gate.h
+++ b/Services/siskinwharfd/src/admission_gate.h
@@ -16,6 +16,7 @@
 #include "siskinwharf/http/refusal.h"
 #include "siskinwharf/routing/router.h"
 #include "siskinwharf/routing/routing_table.h"
+#include "suspect_isolation.h"
 
 namespace siskinwharf::entry {
 
@@ -50,9 +51,10 @@
 /// free slot while none waits for the same target takes no lock.
 class admission_gate {
 public:
-    /// Router and table must outlive the gate. `queue_length` bounds the new requests of one account that
-    /// wait for one target.
-    admission_gate(routing::router& router, const routing::routing_table& table, std::size_t queue_length);
+    /// Router, table and isolation must outlive the gate. `queue_length` bounds the new requests of one
+    /// account that wait for one target.
+    admission_gate(routing::router& router, const routing::routing_table& table,
+                   const suspect_isolation& isolation, std::size_t queue_length);
     admission_gate(const admission_gate&) = delete;
     admission_gate& operator=(const admission_gate&) = delete;
     admission_gate(admission_gate&&) = delete;
@@ -63,6 +65,8 @@
     boost::asio::awaitable<slot_decision> acquire(slot_request request);
     /// A slot of the target became free. Hands free slots to waiting requests; takes no lock if none waits.
     void on_release(const routing::target& target, const slot_usage& usage);
+    /// Expected time from the first token to the end of the answer; 0 if nothing was measured lately.
+    [[nodiscard]] milliseconds decode_time(const routing::routing_request& request);
     [[nodiscard]] std::size_t waiting() const { return m_waiting.load(std::memory_order_relaxed); }
 
 private:
@@ -83,10 +87,10 @@
 
     [[nodiscard]] target_statistics& statistics_of(const routing::target& target);
     [[nodiscard]] std::shared_ptr<target_queue> queue_of(const routing::target& target);
+    /// Chooses among the endpoints that are not reserved for suspects.
+    [[nodiscard]] routing::routing_decision choose(const routing::routing_request& request);
     /// Checks a request that a slot was found for. Takes no lock.
     [[nodiscard]] slot_decision check(routing::routing_decision decision, const slot_request& request);
-    /// Expected time from the first token to the end of the answer; 0 if nothing was measured lately.
-    [[nodiscard]] milliseconds decode_time(const slot_request& request);
     /// Adds a waiter or sets its refusal.
     void enter(target_queue& queue, const std::shared_ptr<waiter>& added);
     /// Gives free slots to waiters in their order.
@@ -102,6 +106,7 @@
 
     routing::router& m_router;
     const routing::routing_table& m_table;
+    const suspect_isolation& m_isolation;
     const std::size_t m_queue_length;
     const admission::admission_control m_control{admission::admission_limits{}};
     std::array<target_statistics, statistics_count> m_statistics{};
--- a/Services/siskinwharfd/src/caller_api.cpp
+++ b/Services/siskinwharfd/src/caller_api.cpp
@@ -201,6 +201,9 @@
             {refusal_type::stopping, "this entry process is stopping", outcome::not_run, seconds(1)});
     const auto sheet = require_sheet();
     auto spec = admit(*sheet, message);
+    if (!m_core.quarantine.is_empty() &&
+        m_core.quarantine.status(content_key_of(spec), now()) == admission::content_status::quarantined)
+        throw request_refused({refusal_type::quarantined, "the request has crashed endpoints"});
     const bool streaming = spec.streaming;
     auto request = m_worker.submit(std::move(spec));
     const reader_guard reader(*request);
--- a/Services/siskinwharfd/src/entry_core.h
+++ b/Services/siskinwharfd/src/entry_core.h
@@ -2,14 +2,18 @@
 
 #include <atomic>
 #include <functional>
+#include <vector>
 
 #include "admission_gate.h"
+#include "crash_log.h"
+#include "siskinwharf/admission/quarantine.h"
 #include "siskinwharf/admission/retry_budget.h"
 #include "siskinwharf/base/time.h"
 #include "siskinwharf/routing/router.h"
 #include "siskinwharf/routing/routing_table.h"
 #include "siskinwharf/settings/settings.h"
 #include "siskinwharf/sheet/sheet_register.h"
+#include "suspect_isolation.h"
 
 namespace siskinwharf::entry {
 
@@ -19,12 +23,18 @@
     dead,    ///< It died without notice.
 };
 
+struct request_spec;
+
+/// Names a request by account, model and prompt.
+[[nodiscard]] admission::content_key content_key_of(const request_spec& spec);
+
 /// What the threads of an entry process share. The members are safe for concurrent use.
 struct entry_core {
     entry_core(settings::settings configured, const routing::routing_options& options, monotonic_time started)
         : settings(std::move(configured)),
           router(table, options),
-          gate(router, table, settings.limits.queue_length_per_account),
+          isolation(table),
+          gate(router, table, isolation, settings.limits.queue_length_per_account),
           sheets(started)
     {
     }
@@ -32,17 +42,30 @@
     const settings::settings settings;
     routing::routing_table table;
     routing::router router;
+    suspect_isolation isolation;
     admission_gate gate;
     admission::retry_budget retries{admission::retry_limits{}};
+    admission::quarantine quarantine{admission::quarantine_limits{}};
+    crash_log crashes;
     sheet::sheet_register sheets;
     /// A planned stop began: readiness fails and no new request is taken.
     std::atomic<bool> stopping{false};
     /// Reports what a request found out about an endpoint to the control thread.
     std::function<void(const endpoint_id&, endpoint_report)> report_endpoint;
+    /// Sends new entries of the quarantine to the other entry processes of the failure domain. Called on the
+    /// threads of the workers.
+    std::function<void(std::vector<admission::quarantine_record>)> publish_quarantine;
     /// Live entry processes of the own failure domain, this one included.
     std::atomic<std::uint32_t> entries_in_domain{1};
     /// Numbers attempts and requests of this process.
     std::atomic<std::uint64_t> next_number{1};
+
+    /// A request has lost its endpoint: counts the crash if the endpoint was live, and publishes it. Must be
+    /// called before the death is reported. Returns the status of the request.
+    admission::content_status on_endpoint_lost(const admission::content_key& key,
+                                               const endpoint_id& endpoint);
+    /// Takes in entries from other entry processes.
+    void merge_quarantine(const std::vector<admission::quarantine_record>& records);
 };
 
 [[nodiscard]] inline monotonic_time now()
--- a/Services/siskinwharfd/src/model_runner.cpp
+++ b/Services/siskinwharfd/src/model_runner.cpp
@@ -71,7 +71,8 @@
       m_request(std::move(request)),
       m_prefix_hashes(serving::prefix_hashes(m_request->spec().prompt,
                                              routing::routing_options{}.prompt_tokens_per_block)),
-      m_prompt_tokens(serving::count_tokens(m_request->spec().prompt))
+      m_prompt_tokens(serving::count_tokens(m_request->spec().prompt)),
+      m_suspect(m_core, *m_request)
 {
     m_history.deadline = m_request->spec().deadline;
     m_slot_limit = slot_limit();
@@ -91,6 +92,7 @@
     } catch (const std::exception& error) {
         m_request->fail({http::refusal_type::internal, error.what(), outcome::unknown});
     }
+    m_suspect.leave();
     m_request->ended_at = now();
 }
 
@@ -119,6 +121,7 @@
         }
         release(chosen, acquired_at);
         if (std::holds_alternative<serving::deliver_end>(step)) {
+            m_suspect.note_finished();
             m_request->finish();
             co_return;
         }
@@ -147,6 +150,7 @@
         usage.share_of_maximum = static_cast<double>(m_request->tokens().size()) / spec.max_tokens;
     chosen.guard.release(time);
     const routing::target target = routing::model_target{spec.model, spec.version};
+    m_suspect.leave();
     m_core.gate.on_release(target, usage);
 }
 
@@ -165,6 +169,11 @@
 asio::awaitable<routing::chosen_endpoint> model_runner::acquire()
 {
     while (true) {
+        if (m_suspect.must_isolate(m_history.accepted)) {
+            auto routing = make_routing_request();
+            if (auto isolated = co_await m_suspect.acquire(std::move(routing)))
+                co_return std::move(*isolated);
+        }
         if (auto planned = take_planned_target())
             co_return std::move(*planned);
         const auto limit = m_history.accepted ? m_history.deadline : m_slot_limit;
@@ -208,6 +217,7 @@
         m_exported_kv.empty() ? m_prompt_tokens + m_request->tokens().size() : 0;
     const auto output_tokens = m_request->spec().max_tokens;
     if (info && load && info->state == routing::endpoint_state::live &&
+        !m_core.isolation.is_reserved(info->serves, info->id) &&
         load->try_begin(now(), info->capacity, prompt_tokens, output_tokens))
         return routing::chosen_endpoint{info, routing::in_flight_guard(load, prompt_tokens, output_tokens), 0,
                                         nanoseconds(0)};
@@ -386,6 +396,8 @@
     const auto& spec = m_request->spec();
     if (end == attempt_end::refused_leaving && m_core.report_endpoint)
         m_core.report_endpoint(endpoint.id, endpoint_report::leaving);
+    if (step.count_crash)
+        m_suspect.note_crash(endpoint.id);
     if (end == attempt_end::endpoint_lost && m_core.report_endpoint)
         m_core.report_endpoint(endpoint.id, endpoint_report::dead);
     m_refused_full = end == attempt_end::refused_full;
--- a/Services/siskinwharfd/src/model_runner.h
+++ b/Services/siskinwharfd/src/model_runner.h
@@ -11,6 +11,7 @@
 #include "live_request.h"
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/serving/next_step.h"
+#include "suspect_run.h"
 
 namespace siskinwharf::entry {
 
@@ -59,6 +60,7 @@
     std::uint64_t m_prompt_tokens = 0;
     serving::attempt_history m_history;
     std::vector<endpoint_id> m_excluded;
+    suspect_run m_suspect;
     /// The last attempt was refused by a full endpoint.
     bool m_refused_full = false;
     /// When a request that is not accepted gives up waiting for a slot.
--- a/Services/siskinwharfd/src/worker.cpp
+++ b/Services/siskinwharfd/src/worker.cpp
@@ -104,6 +104,7 @@
         if (const auto [error] = co_await timer.async_wait(asio::as_tuple(asio::use_awaitable)); error)
             co_return;
         const auto time = now();
+        m_core.quarantine.expire(time);
         std::erase_if(m_requests, [time](const auto& entry) {
             return entry.second->ended() && time - entry.second->ended_at > retention;
         });
--- a/Services/siskinwharfd/tests/admission_gate_test.cpp
+++ b/Services/siskinwharfd/tests/admission_gate_test.cpp
@@ -24,7 +24,9 @@
 /// A gate in front of one endpoint, and requests that wait at it.
 struct gate_fixture {
     explicit gate_fixture(std::uint32_t capacity, std::size_t queue_length = 256)
-        : router(table, routing::routing_options{}), gate(router, table, queue_length)
+        : router(table, routing::routing_options{}),
+          isolation(table),
+          gate(router, table, isolation, queue_length)
     {
         add_endpoint("e1", capacity);
     }
@@ -87,6 +89,7 @@
 
     routing::routing_table table;
     routing::router router;
+    suspect_isolation isolation;
     admission_gate gate;
     std::vector<routing::chosen_endpoint> held;
     std::vector<std::string> served;
--- a/Services/siskinwharfd/tests/fake_engine.h
+++ b/Services/siskinwharfd/tests/fake_engine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,7 @@
     [[nodiscard]] unsigned short port() const { return m_server.port(); }
     [[nodiscard]] int streams() const { return m_streams; }
 
+    static http::response crash() { return {crash_status, {}, {}}; }
     static http::response whole_answer()
     {
         return {
@@ -36,11 +38,20 @@
     }
 
 private:
+    static constexpr int crash_status = -1;
+
     boost::asio::awaitable<void> answer(http::request message, http::response_writer& writer)
     {
-        http::response reply{200, {}, "{}"};
+        http::response reply{404, {}, "{}"};
         if (message.method == "POST" && message.path == "/streams")
             reply = m_script(m_streams++);
+        if (reply.status == crash_status) {
+            // Accepts the stream, sends one token, and loses the connection and its memory.
+            std::vector<http::header_field> headers{{"Content-Type", "application/x-ndjson"}};
+            co_await writer.begin(200, std::move(headers));
+            co_await writer.write("{\"offset\":0,\"token\":\"a\"}\n");
+            throw std::runtime_error("the engine crashes");
+        }
         co_await writer.send(std::move(reply));
     }
 
