--- a/Services/siskinwharfd/src/caller_api.cpp
+++ b/Services/siskinwharfd/src/caller_api.cpp
@@ -192,6 +192,7 @@
     spec.received = now();
     spec.deadline = spec.received + deadline_of(message);
     spec.first_token_target = grant->first_token;
+    spec.share = account.share;
     if (const auto id = message.find_header("Siskinwharf-Request-Id")) {
         if (!is_request_id(*id))
             throw request_refused({refusal_type::malformed,
@@ -211,6 +212,9 @@
             {refusal_type::stopping, "this entry process is stopping", outcome::not_run, seconds(1)});
     const auto sheet = require_sheet();
     auto spec = admit(*sheet, message);
+    if (!m_core.quarantine.is_empty() &&
+        m_core.quarantine.status(content_key_of(spec), now()) == admission::content_status::quarantined)
+        throw request_refused({refusal_type::quarantined, "the request has crashed endpoints"});
     const bool streaming = spec.streaming;
     auto request = m_worker.submit(std::move(spec));
     const reader_guard reader(*request);
--- a/Services/siskinwharfd/src/model_runner.h
+++ b/Services/siskinwharfd/src/model_runner.h
@@ -11,6 +11,7 @@
 #include "live_request.h"
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/serving/next_step.h"
+#include "suspect_run.h"
 
 namespace siskinwharf::entry {
 
@@ -40,6 +41,11 @@
 
     /// The endpoint at which a request that was handed over may still run.
     [[nodiscard]] std::optional<routing::chosen_endpoint> take_restored_endpoint();
+    [[nodiscard]] monotonic_time slot_limit() const;
+    /// Waits until the budget allows the retry. Throws `request_refused`.
+    boost::asio::awaitable<void> wait_for_retry();
+    /// Frees the slot and tells the gate.
+    void release(routing::chosen_endpoint& chosen, monotonic_time acquired_at);
     /// The endpoint that the reclaim plan chose, if it still has a slot.
     [[nodiscard]] std::optional<routing::chosen_endpoint> take_planned_target();
     void take_lines(const std::string& lines, bool& ended);
@@ -56,6 +62,11 @@
     std::uint64_t m_prompt_tokens = 0;
     serving::attempt_history m_history;
     std::vector<endpoint_id> m_excluded;
+    suspect_run m_suspect;
+    /// The last attempt was refused by a full endpoint.
+    bool m_refused_full = false;
+    /// When a request that is not accepted gives up waiting for a slot.
+    monotonic_time m_slot_limit{};
     /// Endpoint that the reclaim plan chose for the next attempt, and the KV cache that was exported for it,
     /// if any.
     endpoint_id m_planned_target;
--- a/Services/siskinwharfd/src/platform_sync.cpp
+++ b/Services/siskinwharfd/src/platform_sync.cpp
@@ -154,9 +154,8 @@
 {
     while (true) {
         const auto result = co_await m_instances.read();
-        if (const auto* records = std::get_if<std::vector<platform::instance_record>>(&result)) {
+        if (const auto* records = std::get_if<std::vector<platform::instance_record>>(&result))
             apply_instances(*records);
-        }
         const auto jitter = milliseconds(m_random() % 100);
         co_await wait_until(now() + instance_poll_period + jitter);
     }
