--- a/Tests/system/demo.py
+++ b/Tests/system/demo.py
@@ -3,6 +3,7 @@
 
 import argparse
 import json
+import signal
 import sys
 import time
 
@@ -32,16 +33,33 @@
         row(name, *(f"{report[key][each]:.1f}" for each in ("p50", "p95", "p99")))
 
 
+def serve(deployment):
+    """Prints where the processes listen and waits until the user interrupts."""
+    print(f"platform 127.0.0.1:{deployment.platform_port}")
+    for name, entry in deployment.entries.items():
+        print(f"{name} callers 127.0.0.1:{entry['ports'][0]} admin 127.0.0.1:{entry['ports'][2]}")
+    print("interrupt (Ctrl-C) to stop", flush=True)
+    try:
+        signal.pause()
+    except KeyboardInterrupt:
+        pass
+    return 0
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default="build", help="build directory")
     parser.add_argument("--seconds", type=int, default=20, help="duration of the load")
     parser.add_argument("--rate", type=float, default=12, help="requests a second")
+    parser.add_argument("--serve", action="store_true",
+                        help="send no load; serve on loopback until interrupted, for trying requests by hand")
     options = parser.parse_args()
     with scenario.create(CARTLINE, build=options.build) as deployment:
         print("starting: platform, 6 engines, 3 service replicas, 9 entry processes in 3 failure domains",
               flush=True)
         scenario.start(deployment, CARTLINE, engines=2, services=1, entries=3)
+        if options.serve:
+            return serve(deployment)
         with scenario.EngineCounters(deployment) as counters:
             print(f"load: {options.seconds} s at {options.rate} requests/s", flush=True)
             load, report_path = deployment.load(
--- a/Tests/system/scenario.py
+++ b/Tests/system/scenario.py
@@ -4,7 +4,7 @@
 import json
 import threading
 
-from deployment import Deployment, DeploymentError, http
+from deployment import Deployment, DeploymentError, http, wait_until
 
 NOTICE_MS = 3000
 
@@ -60,6 +60,17 @@
         for number in range(1, entries + 1):
             deployment.start_entry(f"entry-{region}-{number}", region)
     deployment.wait_ready()
+    wait_endpoints_known(deployment)
+
+
+def wait_endpoints_known(deployment, seconds=20):
+    """Waits until each entry process has logged each endpoint. Readiness says only that a sheet is in force."""
+    def known(entry):
+        output = deployment.processes[entry].output()
+        return all(f"endpoint_added endpoint={name} " in output for name in deployment.endpoints)
+
+    for entry in deployment.entries:
+        wait_until(lambda each=entry: known(each), seconds, f"{entry} knows all endpoints")
 
 
 def engines_of(deployment, region):
