--- a/Tests/system/demo.py
+++ b/Tests/system/demo.py
@@ -39,6 +39,9 @@
     for name, entry in deployment.entries.items():
         print(f"{name} callers 127.0.0.1:{entry['ports'][0]} admin 127.0.0.1:{entry['ports'][2]}")
     print("interrupt (Ctrl-C) to stop", flush=True)
+    # A shell starts background jobs with SIGINT ignored, so both signals are handled here.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.default_int_handler)
     try:
         signal.pause()
     except KeyboardInterrupt:
--- /dev/null
+++ b/Tests/system/system_test.py
@@ -0,0 +1,56 @@
+"""Base of the system tests: one deployment of the Cartline example for each test."""
+
+import os
+import unittest
+
+import callers
+import scenario
+from deployment import http, wait_until
+from scenario import CARTLINE
+
+BUILD = os.environ.get("SISKINWHARF_BUILD", "build")
+KEY = "key-bakehouse"
+TOKENS = 80
+# With 40 ms for each token the 80 tokens of an answer take over 3 s, so a fault hits running streams.
+SLOW_ENGINE = ("--decode-ms-per-token", 40)
+
+
+class SystemTest(unittest.TestCase):
+    def deploy(self, **options):
+        deployment = scenario.create(CARTLINE, build=BUILD)
+        self.addCleanup(deployment.__exit__)
+        scenario.start(deployment, CARTLINE, engine_options=SLOW_ENGINE, **options)
+        return deployment
+
+    def port(self, deployment, entry):
+        return deployment.entries[entry]["ports"][0]
+
+    def start_streams(self, deployment, entries=None, count=12):
+        """Starts streams through the entry processes in turn and waits until each has a token."""
+        entries = list(entries or deployment.entries)
+        streams = [callers.Stream(self.port(deployment, entries[index % len(entries)]), CARTLINE.model, KEY,
+                                  f"question {index} of {self.id()}", TOKENS) for index in range(count)]
+        wait_until(lambda: all(each.tokens or each.error for each in streams), 20, "all streams have begun")
+        return streams
+
+    def assert_whole(self, streams):
+        for each in streams:
+            each.join(60)
+            self.assertIsNone(each.error, each.content)
+            self.assertTrue(each.done, f"{each.content}: cut after {len(each.tokens)} tokens")
+            self.assertEqual(each.tokens, callers.expected_tokens(each.content, TOKENS))
+
+    def faults(self, deployment, **faults):
+        status, text = http("POST", deployment.platform_port, "/faults", faults)
+        self.assertLess(status, 300, text)
+
+    def order(self, deployment, entry, key, headers=None):
+        return callers.post(self.port(deployment, entry), "/services/orders/orders", {"order": key}, KEY,
+                            {"Idempotency-Key": key, **(headers or {})})
+
+    def executions(self, deployment, key):
+        """How often the order ran, over all replicas."""
+        total = 0
+        for name in scenario.services(deployment):
+            total += deployment.processes[name].output().count(f"executed /orders {key}\n")
+        return total
