Services: Refuse as unknown what an endpoint may still run

Found by reading: a model request whose endpoint stalled before it confirmed the stream was refused as not_run although the endpoint could still run it. An unknown path of the administration interface crashed the process: a braced temporary in a co_await expression, destroyed twice by g++ 12. A taken peer address now ends the process with listen_failed instead of an uncaught exception.

--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -228,7 +228,11 @@
     log_event(event::process_started, {{"instance", m_core.settings.instance.value()},
                                        {"failure_domain", m_core.settings.failure_domain.value()}});
     m_admin->start();
-    m_peers->start();
+    try {
+        m_peers->start();
+    } catch (const boost::system::system_error& error) {
+        throw http::listen_error(std::string("cannot listen for peers: ") + error.what());
+    }
     m_platform.start();
     m_control_loop.start();
     m_committer.start();
@@ -296,7 +300,9 @@
         co_await writer.send(http::json_response(200, boost::json::serialize(body)));
         co_return;
     }
-    co_await writer.send(http::to_response({http::refusal_type::not_found, "no such path"}));
+    // Named, because g++ 12 destroys a braced temporary of a co_await expression twice.
+    auto refusal = http::to_response({http::refusal_type::not_found, "no such path"});
+    co_await writer.send(std::move(refusal));
 }
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/model_runner.cpp
+++ b/Services/siskinwharfd/src/model_runner.cpp
@@ -89,7 +89,11 @@
     try {
         co_await run_attempts();
     } catch (const request_refused& refused) {
-        m_request->fail(refused.reason());
+        auto reason = refused.reason();
+        // What refuses the request now does not know what an earlier attempt has done.
+        if (reason.result == outcome::not_run)
+            reason.result = refusal_outcome();
+        m_request->fail(std::move(reason));
     } catch (const std::exception& error) {
         m_request->fail({http::refusal_type::internal, error.what(), outcome::unknown});
     }
@@ -121,6 +125,9 @@
             end = co_await run_attempt(chosen);
         if (m_request->ended())
             co_return;
+        // The endpoint may have received the request and may still run it.
+        if (end == attempt_end::connection_lost || end == attempt_end::endpoint_stalled)
+            m_may_have_run = true;
         m_planned_target = {};
         m_exported_kv.clear();
         // A full endpoint has not tried the request; the time limit bounds how often it is asked.
@@ -464,9 +471,14 @@
     return result;
 }
 
+outcome model_runner::refusal_outcome() const
+{
+    return m_history.accepted || m_may_have_run ? outcome::unknown : outcome::not_run;
+}
+
 http::refusal model_runner::refusal_for(routing::no_endpoint reason) const
 {
-    const auto result = m_history.accepted ? outcome::unknown : outcome::not_run;
+    const auto result = refusal_outcome();
     switch (reason) {
     case routing::no_endpoint::all_full:
         return {http::refusal_type::overloaded, "every endpoint of the model is busy", result,
@@ -483,7 +495,7 @@
 
 http::refusal model_runner::failure_for(serving::give_up_reason reason) const
 {
-    const auto result = m_history.accepted ? outcome::unknown : outcome::not_run;
+    const auto result = refusal_outcome();
     switch (reason) {
     case serving::give_up_reason::deadline_exceeded:
         return {http::refusal_type::deadline_exceeded, "the deadline has passed", result};
--- a/Services/siskinwharfd/src/model_runner.h
+++ b/Services/siskinwharfd/src/model_runner.h
@@ -50,6 +50,7 @@
     [[nodiscard]] std::optional<routing::chosen_endpoint> take_planned_target();
     void take_lines(const std::string& lines, bool& ended);
     [[nodiscard]] routing::routing_request make_routing_request() const;
+    [[nodiscard]] outcome refusal_outcome() const;
     [[nodiscard]] http::refusal refusal_for(routing::no_endpoint reason) const;
     [[nodiscard]] http::refusal failure_for(serving::give_up_reason reason) const;
     void apply(const serving::continue_elsewhere& step, const routing::endpoint_info& endpoint,
@@ -61,6 +62,9 @@
     std::vector<std::uint64_t> m_prefix_hashes;
     std::uint64_t m_prompt_tokens = 0;
     serving::attempt_history m_history;
+    /// An attempt ended without a word on whether the endpoint took the request, so that a refusal must not
+    /// say `not_run`.
+    bool m_may_have_run = false;
     std::vector<endpoint_id> m_excluded;
     suspect_run m_suspect;
     /// The last attempt was refused by a full endpoint.
