--- a/Services/siskinwharfd/src/caller_api.cpp
+++ b/Services/siskinwharfd/src/caller_api.cpp
@@ -99,6 +99,7 @@
     }
     if (!reason)
         co_return;
+    m_core.metrics.count_refusal(reason->type);
     log_event(event::request_refused, {{"type", std::string(http::to_string(reason->type))},
                                        {"outcome", std::string(to_string(reason->result))},
                                        {"message", reason->message}});
@@ -182,6 +183,7 @@
     spec.deadline = spec.received + deadline_of(message);
     spec.first_token_target = grant->first_token;
     spec.share = account.share;
+    spec.latencies = m_worker.latencies(account.account, spec.model.value());
     if (const auto id = message.find_header("Siskinwharf-Request-Id")) {
         if (!is_request_id(*id))
             throw request_refused({refusal_type::malformed,
--- a/Services/siskinwharfd/src/entry_core.h
+++ b/Services/siskinwharfd/src/entry_core.h
@@ -6,6 +6,7 @@
 
 #include "admission_gate.h"
 #include "crash_log.h"
+#include "entry_metrics.h"
 #include "siskinwharf/admission/quarantine.h"
 #include "siskinwharf/admission/retry_budget.h"
 #include "siskinwharf/base/time.h"
@@ -47,6 +48,7 @@
     admission::retry_budget retries{admission::retry_limits{}};
     admission::quarantine quarantine{admission::quarantine_limits{}};
     crash_log crashes;
+    entry_metrics metrics;
     sheet::sheet_register sheets;
     /// A planned stop began: readiness fails and no new request is taken.
     std::atomic<bool> stopping{false};
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -1,6 +1,7 @@
 #include "entry_process.h"
 
 #include <csignal>
+#include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -9,7 +10,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json.hpp>
 
 #include "siskinwharf/base/event_log.h"
 
@@ -53,7 +53,10 @@
 } // namespace
 
 entry_process::entry_process(settings::settings configured)
-    : m_core(configured, options_of(configured), now()),
+    : m_core([&configured] {
+          const auto options = options_of(configured);
+          return entry_core(std::move(configured), options, now());
+      }()),
       m_client(m_control.get_executor()),
       m_table(m_client,
               platform::platform_access{{m_core.settings.platform.ip, m_core.settings.platform.port},
@@ -87,7 +90,7 @@
     m_admin = std::make_unique<http::server>(
         m_control, http::address{settings.listen.admin.ip, settings.listen.admin.port}, http::server_limits{},
         [this](http::request message, http::response_writer& writer) {
-            return handle_admin(std::move(message), writer);
+            return m_admin_api.handle(std::move(message), writer);
         });
     m_core.report_endpoint = [this](const endpoint_id& endpoint, endpoint_report report) {
         asio::post(m_control, [this, endpoint, report] { m_platform.report(endpoint, report); });
@@ -160,21 +163,4 @@
     }
 }
 
-asio::awaitable<void> entry_process::handle_admin(http::request message, http::response_writer& writer)
-{
-    if (message.path == "/status") {
-        boost::json::object body;
-        body["instance"] = m_core.settings.instance.value();
-        body["failure_domain"] = m_core.settings.failure_domain.value();
-        body["region"] = m_core.settings.region.value();
-        body["sheet_version"] = m_core.sheets.version();
-        body["ready"] = m_core.sheets.is_ready(now()) && !m_core.stopping;
-        body["stopping"] = m_core.stopping.load();
-        body["active_requests"] = co_await count_active();
-        co_await writer.send(http::json_response(200, boost::json::serialize(body)));
-        co_return;
-    }
-    co_await writer.send(http::to_response({http::refusal_type::not_found, "no such path"}));
-}
-
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/entry_process.h
+++ b/Services/siskinwharfd/src/entry_process.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "admin_api.h"
 #include "caller_api.h"
 #include "claim_committer.h"
 #include "entry_core.h"
@@ -33,7 +34,6 @@
     boost::asio::awaitable<void> watch_readiness();
     boost::asio::awaitable<void> drain();
     boost::asio::awaitable<std::size_t> count_active();
-    boost::asio::awaitable<void> handle_admin(http::request message, http::response_writer& writer);
 
     entry_core m_core;
     boost::asio::io_context m_control{1};
@@ -44,6 +44,9 @@
     std::vector<std::unique_ptr<caller_api>> m_apis;
     std::vector<std::unique_ptr<http::server>> m_servers;
     platform_sync m_platform;
+    admin_api m_admin_api{m_core, [this] {
+                              return count_active();
+                          }};
     std::unique_ptr<http::server> m_admin;
 };
 
--- a/Services/siskinwharfd/src/live_request.h
+++ b/Services/siskinwharfd/src/live_request.h
@@ -17,6 +17,7 @@
 #include "siskinwharf/routing/endpoint_info.h"
 #include "siskinwharf/serving/chat_response.h"
 #include "siskinwharf/serving/stream_assembler.h"
+#include "siskinwharf/telemetry/latency_histograms.h"
 
 namespace siskinwharf::entry {
 
@@ -33,6 +34,8 @@
     monotonic_time deadline;
     milliseconds first_token_target{0};
     std::uint32_t share = 1; ///< Weight of the account in the fair queue.
+    /// Of the account and model. May be null.
+    std::shared_ptr<telemetry::latency_histograms> latencies;
 };
 
 /// Tells the runner to leave an endpoint that is being reclaimed.
--- a/Services/siskinwharfd/src/model_runner.cpp
+++ b/Services/siskinwharfd/src/model_runner.cpp
@@ -78,6 +78,28 @@
     m_slot_limit = slot_limit();
 }
 
+void model_runner::record(telemetry::latency kind, nanoseconds duration) const
+{
+    if (const auto& latencies = m_request->spec().latencies)
+        latencies->record(kind, duration);
+}
+
+void model_runner::record_tokens(std::size_t count)
+{
+    if (count == 0)
+        return;
+    const auto time = now();
+    if (m_last_tokens_at == monotonic_time{}) {
+        record(telemetry::latency::first_token, time - m_request->spec().received);
+    } else {
+        // Tokens that arrive together share the pause before them.
+        const auto each = (time - m_last_tokens_at) / count;
+        for (std::size_t index = 0; index < count; ++index)
+            record(telemetry::latency::between_tokens, each);
+    }
+    m_last_tokens_at = time;
+}
+
 monotonic_time model_runner::slot_limit() const
 {
     return std::min(now() + longest_wait_for_slot, m_history.deadline);
@@ -102,6 +124,8 @@
     while (true) {
         auto chosen = co_await acquire();
         const auto acquired_at = now();
+        if (m_history.attempts == 0 && !m_refused_full)
+            record(telemetry::latency::queue_wait, acquired_at - m_request->spec().received);
         const auto endpoint = chosen.endpoint;
         ++m_history.attempts;
         const bool imports = endpoint->id == m_planned_target && !m_exported_kv.empty();
@@ -122,6 +146,7 @@
         release(chosen, acquired_at);
         if (std::holds_alternative<serving::deliver_end>(step)) {
             m_suspect.note_finished();
+            record(telemetry::latency::whole_answer, now() - m_request->spec().received);
             m_request->finish();
             co_return;
         }
@@ -228,6 +253,8 @@
 asio::awaitable<attempt_end> model_runner::run_attempt(routing::chosen_endpoint& chosen)
 {
     const auto& spec = m_request->spec();
+    if (m_history.accepted)
+        m_core.metrics.count_recomputed(m_prompt_tokens + m_request->tokens().size());
     serving::stream_order order;
     order.stream_id = stream_id_of(spec);
     order.attempt = m_request->assembler().begin_attempt();
@@ -305,7 +332,9 @@
                 break;
             const auto before = m_request->tokens().size();
             take_lines(lines, ended);
-            m_request->note_tokens(m_request->tokens().size() - before, now());
+            const auto arrived = m_request->tokens().size() - before;
+            m_request->note_tokens(arrived, now());
+            record_tokens(arrived);
             chosen.guard.prefill_done();
             m_request->notify();
             if (m_request->readers == 0 && now() - m_request->abandoned_at > abandon_grace) {
@@ -407,6 +436,8 @@
     if (step.exclude_endpoint)
         m_excluded.push_back(endpoint.id);
     m_history.resumes_without_progress = 0;
+    if (end == attempt_end::move_requested)
+        m_core.metrics.count_move();
     const auto& kind = end == attempt_end::move_requested ? event::request_moved : event::attempt_failed;
     log_event(kind, {{"request", spec.id.value()},
                      {"endpoint", endpoint.id.value()},
--- a/Services/siskinwharfd/src/model_runner.h
+++ b/Services/siskinwharfd/src/model_runner.h
@@ -39,6 +39,9 @@
     /// Tells an endpoint that its stream is not wanted any more.
     boost::asio::awaitable<void> cancel_at(std::shared_ptr<const routing::endpoint_info> endpoint);
 
+    void record(telemetry::latency kind, nanoseconds duration) const;
+    /// Records the latencies of tokens that have just arrived.
+    void record_tokens(std::size_t count);
     [[nodiscard]] monotonic_time slot_limit() const;
     /// Waits until the budget allows the retry. Throws `request_refused`.
     boost::asio::awaitable<void> wait_for_retry();
@@ -61,6 +64,7 @@
     serving::attempt_history m_history;
     std::vector<endpoint_id> m_excluded;
     suspect_run m_suspect;
+    monotonic_time m_last_tokens_at{};
     /// The last attempt was refused by a full endpoint.
     bool m_refused_full = false;
     /// When a request that is not accepted gives up waiting for a slot.
--- a/Services/siskinwharfd/src/worker.cpp
+++ b/Services/siskinwharfd/src/worker.cpp
@@ -64,6 +64,15 @@
     return m_sheet;
 }
 
+const std::shared_ptr<telemetry::latency_histograms>& worker::latencies(const account_id& account,
+                                                                        const std::string& request_class)
+{
+    auto& known = m_latencies[std::pair(account, request_class)];
+    if (!known)
+        known = m_core.metrics.registry().histograms(account, request_class);
+    return known;
+}
+
 std::shared_ptr<live_request> worker::submit(request_spec spec)
 {
     const auto key = key_of(spec.account, spec.id);
--- a/Services/siskinwharfd/src/worker.h
+++ b/Services/siskinwharfd/src/worker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
@@ -51,6 +52,9 @@
 
     /// The sheet in force, or null.
     [[nodiscard]] std::shared_ptr<const sheet_view> current_sheet();
+    /// The histograms of an account and a class. Takes a lock only the first time.
+    [[nodiscard]] const std::shared_ptr<telemetry::latency_histograms>&
+    latencies(const account_id& account, const std::string& request_class);
     /// Registers a request and starts to run it. Returns the running one if the id is taken.
     std::shared_ptr<live_request> submit(request_spec spec);
     [[nodiscard]] std::shared_ptr<live_request> find(const account_id& account, const request_id& id) const;
@@ -76,6 +80,7 @@
     http::client m_client;
     std::shared_ptr<const sheet_view> m_sheet;
     std::unordered_map<std::string, std::shared_ptr<live_request>> m_requests;
+    std::map<std::pair<account_id, std::string>, std::shared_ptr<telemetry::latency_histograms>> m_latencies;
     reclaim_coordinator m_reclaims;
     std::thread m_thread;
 };
--- a/Services/siskinwharfd/tests/runner_fixture.h
+++ b/Services/siskinwharfd/tests/runner_fixture.h
@@ -46,6 +46,7 @@
         spec.version = "1";
         spec.prompt = "one two three";
         spec.max_tokens = 2;
+        spec.latencies = core.metrics.registry().histograms(spec.account, spec.model.value());
         spec.received = now();
         spec.deadline = now() + to_deadline;
         auto request = std::make_shared<live_request>(context.get_executor(), std::move(spec));
