--- a/Services/siskinwharfd/src/entry_process.h
+++ b/Services/siskinwharfd/src/entry_process.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "admin_api.h"
 #include "caller_api.h"
 #include "claim_committer.h"
 #include "control_loop.h"
@@ -49,7 +50,6 @@
     boost::asio::awaitable<std::optional<http::address>> find_holder_here(request_id id);
     void note_entry_instances(const std::vector<platform::instance_record>& records);
     boost::asio::awaitable<std::size_t> count_active();
-    boost::asio::awaitable<void> handle_admin(http::request message, http::response_writer& writer);
 
     entry_core m_core;
     boost::asio::io_context m_control{1};
@@ -63,6 +63,9 @@
     std::shared_ptr<peer_node> m_peers;
     std::map<instance_id, http::address> m_entry_addresses;
     control_loop m_control_loop;
+    admin_api m_admin_api{m_core, [this] {
+                              return count_active();
+                          }};
     std::unique_ptr<http::server> m_admin;
 };
 
--- a/Services/siskinwharfd/src/model_runner.h
+++ b/Services/siskinwharfd/src/model_runner.h
@@ -41,6 +41,9 @@
 
     /// The endpoint at which a request that was handed over may still run.
     [[nodiscard]] std::optional<routing::chosen_endpoint> take_restored_endpoint();
+    void record(telemetry::latency kind, nanoseconds duration) const;
+    /// Records the latencies of tokens that have just arrived.
+    void record_tokens(std::size_t count);
     [[nodiscard]] monotonic_time slot_limit() const;
     /// Waits until the budget allows the retry. Throws `request_refused`.
     boost::asio::awaitable<void> wait_for_retry();
@@ -67,6 +70,7 @@
     bool m_may_have_run = false;
     std::vector<endpoint_id> m_excluded;
     suspect_run m_suspect;
+    monotonic_time m_last_tokens_at{};
     /// The last attempt was refused by a full endpoint.
     bool m_refused_full = false;
     /// When a request that is not accepted gives up waiting for a slot.
