--- a/Tests/system/test_orders.py
+++ b/Tests/system/test_orders.py
@@ -6,6 +6,7 @@
 
 import callers
 import scenario
+from deployment import wait_until
 from scenario import CARTLINE
 from system_test import KEY, SystemTest
 
@@ -16,14 +17,22 @@
         deployment = self.deploy()
         self.faults(deployment, table="down")
         entries = list(deployment.entries)
+        tokens = {}
         for index, entry in enumerate(entries):
             status, body = self.order(deployment, entry, f"down-{index}")
             self.assertEqual(body["error"]["outcome"], "not_run", f"{status} {body}")
+            tokens[f"down-{index}"] = body["error"].get("release_token")
             status, body = callers.post(self.port(deployment, entry), "/v1/chat/completions",
                                         callers.chat_body(CARTLINE.model, f"hello {index}", 2), KEY)
             self.assertEqual(status, 200, body)
         for index in range(len(entries)):
             self.assertEqual(self.executions(deployment, f"down-{index}"), 0)
+        self.faults(deployment, table="up")
+        for key, token in tokens.items():
+            headers = {"Siskinwharf-Release-Token": token} if token else {}
+            wait_until(lambda key=key, headers=headers:
+                       self.order(deployment, entries[0], key, headers)[0] == 200, 20, f"{key} runs after the outage")
+            self.assertEqual(self.executions(deployment, key), 1)
 
     def test_lost_table_answers(self):
         """P3, P4: guards against a claim that is taken twice because its answer was lost."""
