--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -8,4 +8,5 @@
 cmake -S . -B build -G Ninja >/dev/null
 cmake --build build
 Meta/lint.sh build
-ctest --test-dir build --output-on-failure --no-tests=error
+# Three at a time: one model search and the system tests keep about four cores busy.
+ctest --test-dir build --output-on-failure --no-tests=error --parallel 3
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -125,7 +125,7 @@
 {
     for (auto& message : output.messages) {
         if (message.how == membership::delivery::datagram && m_transport)
-            m_transport->send(message.recipient, message.contact, std::move(message.body));
+            m_transport->send(message.recipient, message.contact, message.body);
         else if (message.how == membership::delivery::request)
             asio::co_spawn(m_control, exchange(std::move(message)), asio::detached);
     }
