Http: Read on after a refusal so that the caller gets it

Cause: the server closed the socket while a large body was still arriving; the system then resets the connection, and the refusal was lost. Ruled out: the body limit and the parser. After a refusal the server now reads and discards up to 16 MiB for up to 2 s.

--- a/Libraries/http/src/server.cpp
+++ b/Libraries/http/src/server.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <unordered_set>
+#include <vector>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -23,6 +24,27 @@
 /// Pause after a failed accept, so that a process without free descriptors does not spin.
 constexpr milliseconds accept_retry_delay{50};
 
+/// Bounds on what is read and thrown away after a refusal.
+constexpr milliseconds discard_time{2'000};
+constexpr std::size_t discard_bytes = 16U << 20U;
+
+/// Reads what the caller still sends after a request was refused. Closing a socket with unread input makes
+/// the system reset the connection, and the caller may then lose the refusal that is on its way.
+asio::awaitable<void> discard_input(beast::tcp_stream& stream)
+{
+    boost::system::error_code ignored;
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream.expires_after(discard_time);
+    std::vector<char> block(first_read_bytes);
+    std::size_t discarded = 0;
+    while (discarded < discard_bytes) {
+        const auto [error, size] = co_await stream.async_read_some(asio::buffer(block), use_tuple);
+        if (error)
+            co_return;
+        discarded += size;
+    }
+}
+
 tcp::acceptor open_acceptor(asio::io_context& context, const address& listen)
 {
     try {
@@ -149,6 +171,7 @@
             if (received.reason) {
                 writer.close_after_response();
                 co_await writer.send(to_response(*received.reason));
+                co_await discard_input(*lowest);
                 co_return;
             }
             if (m_stopping)
