Meta: Check the packages with sanitizers

Cause of the failed fuzz build: clang 14 cannot compile coroutines with -fsanitize=undefined ('Cannot represent a difference across sections'); address and thread alone work.

--- a/Meta/CMake/siskinwharf.cmake
+++ b/Meta/CMake/siskinwharf.cmake
@@ -21,7 +21,7 @@
 
 set(SISKINWHARF_SANITIZER "" CACHE STRING "Sanitizer of all targets: address, thread or empty")
 if(SISKINWHARF_SANITIZER STREQUAL "address")
-    add_compile_options(-fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
+    add_compile_options(-fsanitize=address -fno-sanitize-recover=all -fno-omit-frame-pointer)
     add_link_options(-fsanitize=address,undefined)
 elseif(SISKINWHARF_SANITIZER STREQUAL "thread")
     add_compile_options(-fsanitize=thread -fno-omit-frame-pointer)
@@ -51,8 +51,17 @@
     add_library(siskinwharf::${name} ALIAS siskinwharf_${name})
     target_include_directories(siskinwharf_${name} PUBLIC include PRIVATE src)
     target_link_libraries(siskinwharf_${name} PUBLIC ${ARG_DEPENDS} PRIVATE ${ARG_PRIVATE_DEPENDS})
+    # Packages with coroutines go without: clang 14 cannot compile these with -fsanitize=undefined, and g++ 12 does
+    # not finish in reasonable time.
+    set(coroutine_packages net http peer platform)
+    if(SISKINWHARF_SANITIZER STREQUAL "address" AND NOT name IN_LIST coroutine_packages)
+        target_compile_options(siskinwharf_${name} PRIVATE -fsanitize=undefined)
+    endif()
 endfunction()
 
+# All test programs of packages, for the sanitizer builds.
+add_custom_target(package_tests)
+
 # siskinwharf_test(<package> SOURCES <file>... [DEPENDS <target>...])
 # Adds the one test program of a package.
 function(siskinwharf_test name)
@@ -60,6 +69,7 @@
     add_executable(test_${name} ${ARG_SOURCES})
     target_link_libraries(test_${name} PRIVATE siskinwharf::${name} Catch2::Catch2WithMain ${ARG_DEPENDS})
     add_test(NAME ${name} COMMAND test_${name})
-    set_tests_properties(${name} PROPERTIES TIMEOUT 300 LABELS unit
+    add_dependencies(package_tests test_${name})
+    set_tests_properties(${name} PROPERTIES TIMEOUT 300 LABELS "unit;package"
         ENVIRONMENT "RC_PARAMS=seed=20261204")
 endfunction()
