--- a/Services/siskinwharfd/src/model_runner.cpp
+++ b/Services/siskinwharfd/src/model_runner.cpp
@@ -11,6 +11,7 @@
 #include <boost/json.hpp>
 
 #include "attempt_ends.h"
+#include "pause.h"
 #include "request_refused.h"
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/serving/chat_request.h"
@@ -39,12 +40,6 @@
 /// Callers come back to resume within seconds; after that, generating on would only cost.
 constexpr milliseconds abandon_grace{20'000};
 
-asio::awaitable<void> pause_for(milliseconds duration)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 std::string stream_id_of(const request_spec& spec)
 {
     // The account is part of the id, so that one account cannot resume the stream of another.
--- a/Services/siskinwharfd/src/service_runner.cpp
+++ b/Services/siskinwharfd/src/service_runner.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "pause.h"
 #include "request_refused.h"
 #include "siskinwharf/base/digest.h"
 #include "siskinwharf/base/event_log.h"
@@ -22,12 +23,6 @@
 constexpr milliseconds retry_pause{50};
 constexpr milliseconds refused_retry_after{1'000};
 
-asio::awaitable<void> pause_for(nanoseconds duration)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 milliseconds time_left(monotonic_time deadline)
 {
     const auto left = std::chrono::duration_cast<milliseconds>(deadline - now());
