--- a/Tests/system/test_readiness.py
+++ b/Tests/system/test_readiness.py
@@ -5,13 +5,14 @@
 
 from deployment import Deployment, http, wait_until
 from scenario import CARTLINE
+from system_test import BUILD
 
 
 class Readiness(unittest.TestCase):
     def test_process_without_endpoints_is_not_ready(self):
         """Guards against a process that the balancer uses although it would refuse every request: a sheet is in
         force, but the instance list has not been read."""
-        with Deployment(regions=("kingston",)) as deployment:
+        with Deployment(build=BUILD, regions=("kingston",)) as deployment:
             deployment.start_platform()
             deployment.start_engine("engine-kingston-1", "kingston", CARTLINE.model, CARTLINE.version)
             self.assertEqual(deployment.submit().returncode, 0)
