--- a/Services/siskinwharfd/src/caller_api.cpp
+++ b/Services/siskinwharfd/src/caller_api.cpp
@@ -6,11 +6,11 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
+#include "engine_relay.h"
 #include "request_refused.h"
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/serving/chat_request.h"
 #include "siskinwharf/serving/chat_response.h"
-#include "siskinwharf/serving/token_line.h"
 
 namespace siskinwharf::entry {
 
@@ -22,8 +22,6 @@
 /// Deadline of a request whose caller names none.
 constexpr milliseconds default_deadline{120'000};
 constexpr milliseconds longest_deadline{600'000};
-/// Longest silence of a stream that is relayed.
-constexpr milliseconds relay_timeout{10'000};
 constexpr std::size_t longest_request_id = 64;
 constexpr std::size_t longest_idempotency_key = 256;
 constexpr std::string_view services_prefix = "/services/";
@@ -388,50 +386,14 @@
             continue;
         const serving::answer_identity identity{
             id.value(), std::get<routing::model_target>(endpoint->serves).model.value(), 0};
+        auto headers = stream_headers(id);
+        co_await writer.begin(200, std::move(headers));
         co_await relay_engine_stream(*stream, identity, offset, writer);
         co_return true;
     }
     co_return false;
 }
 
-asio::awaitable<void> caller_api::relay_engine_stream(http::line_stream& stream,
-                                                      serving::answer_identity identity, std::uint64_t offset,
-                                                      http::response_writer& writer)
-{
-    auto headers = stream_headers(request_id(identity.id));
-    co_await writer.begin(200, std::move(headers));
-    std::optional<std::uint64_t> end;
-    try {
-        while (!end || offset < *end) {
-            const auto lines = co_await stream.next_lines(relay_timeout);
-            if (lines.empty())
-                break;
-            std::vector<std::string> tokens;
-            std::string_view rest = lines;
-            while (!rest.empty()) {
-                const auto length = std::min(rest.find('\n'), rest.size());
-                auto event = serving::parse_engine_line(rest.substr(0, length));
-                rest = rest.substr(std::min(length + 1, rest.size()));
-                if (auto* token = event ? std::get_if<serving::token_event>(&*event) : nullptr) {
-                    if (token->offset == offset + tokens.size())
-                        tokens.push_back(std::move(token->token));
-                } else if (event) {
-                    end = std::get<serving::end_event>(*event).offset;
-                }
-            }
-            auto events = serving::render_events(identity, tokens, offset);
-            offset += tokens.size();
-            co_await writer.write(std::move(events));
-        }
-    } catch (const http::call_error& error) {
-        throw http::caller_disconnected(error.what());
-    }
-    if (!end || offset < *end)
-        throw http::caller_disconnected("the stream of the engine ended early");
-    co_await writer.write(serving::render_end_events(identity));
-    co_await writer.finish();
-}
-
 service_call caller_api::admit_call(const sheet_view& sheet, http::request message) const
 {
     const auto& account = authenticate(sheet, message);
--- a/Services/siskinwharfd/src/caller_api.h
+++ b/Services/siskinwharfd/src/caller_api.h
@@ -37,9 +37,6 @@
     /// false if no engine of the failure domain knows the stream.
     boost::asio::awaitable<bool> relay_from_engine(const sheet_view& sheet, account_id account, request_id id,
                                                    std::uint64_t offset, http::response_writer& writer);
-    boost::asio::awaitable<void> relay_engine_stream(http::line_stream& stream,
-                                                     serving::answer_identity identity, std::uint64_t offset,
-                                                     http::response_writer& writer);
     boost::asio::awaitable<void> list_models(http::request message, http::response_writer& writer);
     boost::asio::awaitable<void> stream_answer(std::shared_ptr<live_request> request,
                                                http::response_writer& writer);
--- /dev/null
+++ b/Services/siskinwharfd/src/engine_calls.cpp
@@ -0,0 +1,38 @@
+#include "engine_calls.h"
+
+#include <utility>
+
+#include <boost/json.hpp>
+
+namespace siskinwharf::entry {
+
+std::string stream_id_of(const request_spec& spec)
+{
+    // The account is part of the id, so that one account cannot resume the stream of another.
+    return spec.account.value() + ":" + spec.id.value();
+}
+
+http::address address_of(const routing::endpoint_info& endpoint)
+{
+    return {endpoint.address, endpoint.port};
+}
+
+http::request make_request(std::string method, std::string path, std::string query, std::string body)
+{
+    http::request message{std::move(method), std::move(path), std::move(query), {}, std::move(body)};
+    if (!message.body.empty())
+        message.headers.push_back({"Content-Type", "application/json"});
+    return message;
+}
+
+std::string exported_cache_of(const std::string& body)
+{
+    boost::system::error_code error;
+    const auto document = boost::json::parse(body, error);
+    if (error || !document.is_object() || !document.get_object().contains("kv"))
+        return {};
+    const auto& cache = document.get_object().at("kv");
+    return cache.is_string() ? std::string(cache.get_string()) : boost::json::serialize(cache);
+}
+
+} // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/model_runner.cpp
+++ b/Services/siskinwharfd/src/model_runner.cpp
@@ -3,16 +3,14 @@
 #include <limits>
 #include <utility>
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
 #include "attempt_ends.h"
+#include "engine_calls.h"
 #include "pause.h"
 #include "request_refused.h"
+#include "runner_refusals.h"
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/serving/chat_request.h"
 #include "siskinwharf/serving/token_line.h"
@@ -40,25 +38,6 @@
 /// Callers come back to resume within seconds; after that, generating on would only cost.
 constexpr milliseconds abandon_grace{20'000};
 
-std::string stream_id_of(const request_spec& spec)
-{
-    // The account is part of the id, so that one account cannot resume the stream of another.
-    return spec.account.value() + ":" + spec.id.value();
-}
-
-http::address address_of(const routing::endpoint_info& endpoint)
-{
-    return {endpoint.address, endpoint.port};
-}
-
-http::request get_request(std::string method, std::string path, std::string query, std::string body)
-{
-    http::request message{std::move(method), std::move(path), std::move(query), {}, std::move(body)};
-    if (!message.body.empty())
-        message.headers.push_back({"Content-Type", "application/json"});
-    return message;
-}
-
 } // namespace
 
 model_runner::model_runner(entry_core& core, http::client& client, std::shared_ptr<live_request> request)
@@ -168,7 +147,7 @@
         }
         if (const auto* reason = std::get_if<serving::give_up_reason>(&step)) {
             co_await cancel_at(endpoint);
-            throw request_refused(failure_for(*reason));
+            throw request_refused(failure_for(*reason, refusal_outcome()));
         }
         const auto& next = std::get<serving::continue_elsewhere>(step);
         apply(next, *endpoint, end);
@@ -219,7 +198,7 @@
             co_return std::move(*planned);
         const auto limit = m_history.accepted ? m_history.deadline : m_slot_limit;
         if (m_refused_full && now() >= limit)
-            throw request_refused(refusal_for(routing::no_endpoint::all_full));
+            throw request_refused(refusal_for(routing::no_endpoint::all_full, refusal_outcome()));
         slot_request wanted;
         wanted.routing = make_routing_request();
         wanted.share = m_request->spec().share;
@@ -243,7 +222,8 @@
         const bool waits = m_history.accepted || reason == routing::no_endpoint::all_full ||
                            (all_excluded && m_refused_full);
         if (!waits || now() >= limit)
-            throw request_refused(refusal_for(m_refused_full ? routing::no_endpoint::all_full : reason));
+            throw request_refused(
+                refusal_for(m_refused_full ? routing::no_endpoint::all_full : reason, refusal_outcome()));
         co_await pause_for(refused_pause);
     }
 }
@@ -296,7 +276,7 @@
     order.prompt = spec.prompt;
     order.max_tokens = spec.max_tokens;
     auto message =
-        get_request("POST", "/streams", "", serving::render_stream_order(order, m_request->tokens()));
+        make_request("POST", "/streams", "", serving::render_stream_order(order, m_request->tokens()));
     m_request->attach(chosen.endpoint, nullptr);
     std::unique_ptr<http::line_stream> stream;
     try {
@@ -312,7 +292,7 @@
 asio::awaitable<attempt_end> model_runner::resume_attempt(routing::chosen_endpoint& chosen)
 {
     const auto path = "/streams/" + http::percent_encode(stream_id_of(m_request->spec()));
-    auto message = get_request("GET", path, "offset=" + std::to_string(m_request->tokens().size()), "");
+    auto message = make_request("GET", path, "offset=" + std::to_string(m_request->tokens().size()), "");
     std::unique_ptr<http::line_stream> stream;
     try {
         stream = co_await m_client.open(address_of(*chosen.endpoint), std::move(message), header_timeout);
@@ -335,7 +315,7 @@
     body["attempt"] = m_request->assembler().begin_attempt();
     body["kv"] = kv;
     body["offset"] = m_request->tokens().size();
-    auto message = get_request("POST", "/streams/import", "", boost::json::serialize(body));
+    auto message = make_request("POST", "/streams/import", "", boost::json::serialize(body));
     m_request->attach(chosen.endpoint, nullptr);
     std::unique_ptr<http::line_stream> stream;
     try {
@@ -423,18 +403,13 @@
     if (!move->with_cache)
         co_return;
     const auto path = "/streams/" + http::percent_encode(stream_id_of(m_request->spec())) + "/export";
-    auto message = get_request("POST", path, "", "{}");
+    auto message = make_request("POST", path, "", "{}");
     try {
         const auto answer =
             co_await m_client.call(address_of(*endpoint), std::move(message), export_timeout, false);
         if (answer.status != 200)
             co_return;
-        boost::system::error_code error;
-        const auto document = boost::json::parse(answer.body, error);
-        if (error || !document.is_object() || !document.get_object().contains("kv"))
-            co_return;
-        const auto& kv = document.get_object().at("kv");
-        m_exported_kv = kv.is_string() ? std::string(kv.get_string()) : boost::json::serialize(kv);
+        m_exported_kv = exported_cache_of(answer.body);
     } catch (const http::call_error&) {
         // Without the cache the stream continues from its tokens.
         co_return;
@@ -444,7 +419,7 @@
 asio::awaitable<void> model_runner::cancel_at(std::shared_ptr<const routing::endpoint_info> endpoint)
 {
     const auto path = "/streams/" + http::percent_encode(stream_id_of(m_request->spec()));
-    auto message = get_request("DELETE", path, "", "");
+    auto message = make_request("DELETE", path, "", "");
     try {
         co_await m_client.call(address_of(*endpoint), std::move(message), header_timeout);
     } catch (const http::call_error&) {
@@ -502,36 +477,4 @@
     return m_history.accepted || m_may_have_run ? outcome::unknown : outcome::not_run;
 }
 
-http::refusal model_runner::refusal_for(routing::no_endpoint reason) const
-{
-    const auto result = refusal_outcome();
-    switch (reason) {
-    case routing::no_endpoint::all_full:
-        return {http::refusal_type::overloaded, "every endpoint of the model is busy", result,
-                milliseconds(1'000)};
-    case routing::no_endpoint::target_cannot_be_met:
-        return {http::refusal_type::deadline_unreachable, "the latency target cannot be met now", result,
-                milliseconds(1'000)};
-    case routing::no_endpoint::all_leaving:
-    case routing::no_endpoint::no_endpoint_for_target:
-        break;
-    }
-    return {http::refusal_type::no_endpoint, "no endpoint serves the model now", result, milliseconds(2'000)};
-}
-
-http::refusal model_runner::failure_for(serving::give_up_reason reason) const
-{
-    const auto result = refusal_outcome();
-    switch (reason) {
-    case serving::give_up_reason::deadline_exceeded:
-        return {http::refusal_type::deadline_exceeded, "the deadline has passed", result};
-    case serving::give_up_reason::attempts_exhausted:
-        return {http::refusal_type::endpoint_failed, "no endpoint took the request", result,
-                milliseconds(1'000)};
-    case serving::give_up_reason::rejected:
-        break;
-    }
-    return {http::refusal_type::malformed, "the endpoint rejects the request", result};
-}
-
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/model_runner.h
+++ b/Services/siskinwharfd/src/model_runner.h
@@ -54,8 +54,6 @@
     void take_lines(const std::string& lines, bool& ended);
     [[nodiscard]] routing::routing_request make_routing_request() const;
     [[nodiscard]] outcome refusal_outcome() const;
-    [[nodiscard]] http::refusal refusal_for(routing::no_endpoint reason) const;
-    [[nodiscard]] http::refusal failure_for(serving::give_up_reason reason) const;
     void apply(const serving::continue_elsewhere& step, const routing::endpoint_info& endpoint,
                serving::attempt_end end);
 
