Services: Compose the request key in one place and drop repeated work

Found by reading the whole change. The name <account>:<request id> was put together in five places, the wall clock in two, and the count of readers by hand beside its guard; each is one function or class now. Each part of a resumed answer counted the tokens of the whole prompt for a field that nothing read; the field is gone. Each load poll rebuilt the index of all endpoint keys to find the endpoint it had just asked; it now applies the report directly. That differs in one case only: an endpoint whose short key collides with another's keeps the report of its own poller, which names it exactly, while shared digests of such a key are still ignored.

--- a/Services/siskinwharfd/src/caller_api.cpp
+++ b/Services/siskinwharfd/src/caller_api.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 
 #include "engine_relay.h"
+#include "reader_guard.h"
+#include "request_key.h"
 #include "request_refused.h"
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/serving/chat_request.h"
@@ -72,24 +74,6 @@
         throw http::caller_disconnected("the request was handed over to a peer");
 }
 
-/// Counts a caller that reads an answer.
-class reader_guard {
-public:
-    explicit reader_guard(live_request& request) : m_request(request) { ++m_request.readers; }
-    reader_guard(const reader_guard&) = delete;
-    reader_guard& operator=(const reader_guard&) = delete;
-    reader_guard(reader_guard&&) = delete;
-    reader_guard& operator=(reader_guard&&) = delete;
-    ~reader_guard()
-    {
-        if (--m_request.readers == 0)
-            m_request.abandoned_at = now();
-    }
-
-private:
-    live_request& m_request;
-};
-
 } // namespace
 
 caller_api::caller_api(entry_core& core, worker& own, const std::vector<std::unique_ptr<worker>>& workers,
@@ -144,6 +128,13 @@
     throw request_refused({refusal_type::not_found, "no such path"});
 }
 
+void caller_api::refuse_if_stopping() const
+{
+    if (m_core.stopping)
+        throw request_refused(
+            {refusal_type::stopping, "this entry process is stopping", outcome::not_run, seconds(1)});
+}
+
 std::shared_ptr<const sheet_view> caller_api::require_sheet()
 {
     auto sheet = m_worker.current_sheet();
@@ -207,9 +198,7 @@
 
 asio::awaitable<void> caller_api::create_completion(http::request message, http::response_writer& writer)
 {
-    if (m_core.stopping)
-        throw request_refused(
-            {refusal_type::stopping, "this entry process is stopping", outcome::not_run, seconds(1)});
+    refuse_if_stopping();
     const auto sheet = require_sheet();
     auto spec = admit(*sheet, message);
     if (!m_core.quarantine.is_empty() &&
@@ -329,7 +318,7 @@
 {
     if (!m_core.find_holder)
         co_return false;
-    const auto holder = co_await m_core.find_holder(request_id(account.value() + ":" + id.value()));
+    const auto holder = co_await m_core.find_holder(request_id(request_key(account, id)));
     if (!holder)
         co_return false;
     // FIXME: A holder whose caller listener uses TLS cannot be reached here.
@@ -372,7 +361,7 @@
                 candidates.push_back(entry.info);
         }
     }
-    const auto path = "/streams/" + http::percent_encode(account.value() + ":" + id.value());
+    const auto path = "/streams/" + http::percent_encode(request_key(account, id));
     for (const auto& endpoint : candidates) {
         http::request query{"GET", path, "offset=" + std::to_string(offset), {}, ""};
         const http::address target{endpoint->address, endpoint->port};
@@ -440,9 +429,7 @@
 
 asio::awaitable<void> caller_api::call_service(http::request message, http::response_writer& writer)
 {
-    if (m_core.stopping)
-        throw request_refused(
-            {refusal_type::stopping, "this entry process is stopping", outcome::not_run, seconds(1)});
+    refuse_if_stopping();
     const auto sheet = require_sheet();
     service_runner runner(m_core, m_worker.client(), m_committer, m_query,
                           admit_call(*sheet, std::move(message)));
--- a/Services/siskinwharfd/src/caller_api.h
+++ b/Services/siskinwharfd/src/caller_api.h
@@ -49,6 +49,8 @@
     /// Checks a chat request against the sheet. Throws `request_refused`.
     [[nodiscard]] service_call admit_call(const sheet_view& sheet, http::request message) const;
     [[nodiscard]] request_spec admit(const sheet_view& sheet, const http::request& message);
+    /// Throws `request_refused` once a stop has begun: new work goes elsewhere.
+    void refuse_if_stopping() const;
     /// The sheet in force. Throws `request_refused` while the process is not ready.
     [[nodiscard]] std::shared_ptr<const sheet_view> require_sheet();
 
--- a/Services/siskinwharfd/src/engine_calls.cpp
+++ b/Services/siskinwharfd/src/engine_calls.cpp
@@ -4,12 +4,13 @@
 
 #include <boost/json.hpp>
 
+#include "request_key.h"
+
 namespace siskinwharf::entry {
 
 std::string stream_id_of(const request_spec& spec)
 {
-    // The account is part of the id, so that one account cannot resume the stream of another.
-    return spec.account.value() + ":" + spec.id.value();
+    return request_key(spec.account, spec.id);
 }
 
 http::address address_of(const routing::endpoint_info& endpoint)
--- a/Services/siskinwharfd/src/handover.cpp
+++ b/Services/siskinwharfd/src/handover.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/json.hpp>
 
+#include "request_key.h"
+
 namespace siskinwharf::entry {
 
 peer::request_record to_record(const live_request& request, monotonic_time now)
@@ -13,7 +15,7 @@
     body["prompt"] = spec.prompt;
     body["max_tokens"] = spec.max_tokens;
     peer::request_record record;
-    record.request = request_id(spec.account.value() + ":" + spec.id.value());
+    record.request = request_id(request_key(spec.account, spec.id));
     record.account = spec.account;
     record.body = boost::json::serialize(body);
     record.target = spec.model.value();
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -11,6 +11,7 @@
 
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/membership/polling.h"
+#include "unix_time.h"
 
 namespace siskinwharf::entry {
 
@@ -23,13 +24,6 @@
 constexpr milliseconds load_poll_period{500};
 constexpr milliseconds load_poll_timeout{1'000};
 
-std::uint64_t unix_milliseconds()
-{
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-            .count());
-}
-
 peer::address contact_of(const settings::socket_address& address)
 {
     return {address.ip, address.port};
@@ -230,7 +224,7 @@
         entry.free_slots = number_of(load, "free");
         entry.sequence = number_of(load, "sequence");
         digest->loads.push_back(entry);
-        apply_loads(peer::load_report{{entry}});
+        apply_load(endpoint, entry);
     } catch (const http::call_error&) {
         m_callbacks.on_probe(endpoint, false);
     }
@@ -243,16 +237,20 @@
         by_key[peer::endpoint_key(endpoint)].push_back(endpoint);
     for (const auto& load : report.loads) {
         const auto found = by_key.find(load.endpoint_key);
-        if (found == by_key.end() || found->second.size() != 1)
-            continue;
-        routing::load_report entry;
-        entry.sequence = load.sequence;
-        entry.measured_at = now();
-        entry.streams = load.in_flight;
-        m_core.table.apply_report(found->second.front(), entry, now());
+        if (found != by_key.end() && found->second.size() == 1)
+            apply_load(found->second.front(), load);
     }
 }
 
+void peer_node::apply_load(const endpoint_id& endpoint, const peer::load_digest& load)
+{
+    routing::load_report report;
+    report.sequence = load.sequence;
+    report.measured_at = now();
+    report.streams = load.in_flight;
+    m_core.table.apply_report(endpoint, report, report.measured_at);
+}
+
 std::vector<membership::member_info> peer_node::working_peers() const
 {
     auto result = m_members.members();
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -67,6 +67,7 @@
     boost::asio::awaitable<void> exchange(membership::outgoing_message message);
     void carry_out(membership::member_output output);
     void apply_loads(const peer::load_report& report);
+    void apply_load(const endpoint_id& endpoint, const peer::load_digest& load);
     [[nodiscard]] std::vector<membership::member_info> working_peers() const;
     [[nodiscard]] std::vector<endpoint_id> own_endpoints() const;
 
--- a/Services/siskinwharfd/src/platform_sync.cpp
+++ b/Services/siskinwharfd/src/platform_sync.cpp
@@ -11,6 +11,7 @@
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/sheet/poll_schedule.h"
 #include "siskinwharf/sheet/sheet_rows.h"
+#include "unix_time.h"
 
 namespace siskinwharf::entry {
 
@@ -76,12 +77,6 @@
     return "unknown";
 }
 
-std::uint64_t unix_milliseconds()
-{
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
-}
-
 asio::awaitable<void> wait_until(monotonic_time time)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, time);
--- a/Services/siskinwharfd/src/worker.cpp
+++ b/Services/siskinwharfd/src/worker.cpp
@@ -10,8 +10,9 @@
 
 #include "handover.h"
 #include "model_runner.h"
+#include "reader_guard.h"
+#include "request_key.h"
 #include "siskinwharf/base/event_log.h"
-#include "siskinwharf/serving/chat_request.h"
 
 namespace siskinwharf::entry {
 
@@ -23,11 +24,6 @@
 constexpr seconds retention{60};
 constexpr seconds expiry_period{5};
 
-std::string key_of(const account_id& account, const request_id& id)
-{
-    return account.value() + ":" + id.value();
-}
-
 } // namespace
 
 worker::worker(entry_core& core)
@@ -77,7 +73,7 @@
 
 std::shared_ptr<live_request> worker::submit(request_spec spec)
 {
-    const auto key = key_of(spec.account, spec.id);
+    const auto key = request_key(spec.account, spec.id);
     if (const auto found = m_requests.find(key); found != m_requests.end())
         return found->second;
     auto request = std::make_shared<live_request>(m_context.get_executor(), std::move(spec));
@@ -88,7 +84,7 @@
 
 std::shared_ptr<live_request> worker::find(const account_id& account, const request_id& id) const
 {
-    const auto found = m_requests.find(key_of(account, id));
+    const auto found = m_requests.find(request_key(account, id));
     return found == m_requests.end() ? nullptr : found->second;
 }
 
@@ -104,7 +100,7 @@
     co_await runner.run();
     // A request that was refused before acceptance leaves nothing to fetch, and its id can be used again.
     if (request->current_phase() == live_request::phase::failed && request->tokens().empty())
-        m_requests.erase(key_of(request->spec().account, request->spec().id));
+        m_requests.erase(request_key(request->spec().account, request->spec().id));
 }
 
 asio::awaitable<void> worker::expire_requests()
@@ -137,11 +133,9 @@
     const auto request = find(account, id);
     if (!request)
         co_return std::nullopt;
-    ++request->readers;
+    const reader_guard reader(*request);
     while (!request->ended() && request->tokens().size() <= offset)
         co_await request->wait_for_change();
-    if (--request->readers == 0)
-        request->abandoned_at = now();
     answer_part part;
     const auto& tokens = request->tokens();
     if (offset < tokens.size())
@@ -150,7 +144,6 @@
     part.phase = request->current_phase();
     part.failure = request->failure();
     part.identity = request->identity();
-    part.prompt_tokens = serving::count_tokens(request->spec().prompt);
     co_return part;
 }
 
@@ -190,7 +183,7 @@
     auto request = from_record(m_context.get_executor(), record, now());
     if (!request)
         co_return false;
-    const auto key = key_of(request->spec().account, request->spec().id);
+    const auto key = request_key(request->spec().account, request->spec().id);
     // A record can arrive twice, when the answer to the first was lost.
     if (m_requests.contains(key))
         co_return true;
--- a/Services/siskinwharfd/src/worker.h
+++ b/Services/siskinwharfd/src/worker.h
@@ -27,7 +27,6 @@
     live_request::phase phase = live_request::phase::waiting;
     std::optional<http::refusal> failure;
     serving::answer_identity identity;
-    std::uint64_t prompt_tokens = 0;
 };
 
 /// One thread with its own I/O context, client connections and requests. Requests never move between threads,
