Routing: Keep first tokens in time at overload

Cause: at 30 and 60 requests/s, with engines for 25, the 95th percentile to the first token of admitted requests was 3.8 and 3.2 s (target 0.84 s). Each entry process counted on the whole capacity of engines in other failure domains, whose load it is never told, so an engine got three times its capacity and queued the rest. Ruled out: the engine's time model (overrun below 0.2 s), retries of the load generator (the figure counts from the admitted try; 'siskinwharf load' now reports both). Change: an eighth of the capacity without a recent report, polls of the remote engines in use, a prefill rate learned from first tokens, half of the target as the longest wait for a slot, and 500 ms as the shortest retry time.

--- a/Libraries/routing/include/siskinwharf/routing/endpoint_load.h
+++ b/Libraries/routing/include/siskinwharf/routing/endpoint_load.h
@@ -42,6 +42,13 @@
     [[nodiscard]] double decode_rate() const { return m_decode_rate.load(std::memory_order_relaxed); }
     [[nodiscard]] double prefill_rate() const { return m_prefill_rate.load(std::memory_order_relaxed); }
 
+    /// Prompt tokens per second that the first tokens of own streams imply, for endpoints that report no
+    /// rate. Waiting for others is part of it, so that it falls with their load. 0 before the first stream.
+    [[nodiscard]] double observed_prefill_rate() const
+    {
+        return m_observed_prefill_rate.load(std::memory_order_relaxed);
+    }
+
     [[nodiscard]] monotonic_time last_report_at() const;
     [[nodiscard]] std::uint64_t last_report_sequence() const { return m_sequence.load(); }
 
@@ -50,6 +57,8 @@
                                  std::uint64_t output_tokens);
     /// The first token has arrived: the prompt no longer waits for its prefill.
     void prefill_done(std::uint64_t prompt_tokens);
+    /// A first token came after this time, with so many known prompt tokens before it, its own included.
+    void observe_prefill(std::uint64_t tokens, nanoseconds elapsed);
     /// Frees the slot of one stream.
     void end(monotonic_time now, std::uint64_t queued_prompt_tokens, std::uint64_t tokens);
     /// Frees the slot at the newest time that this object has seen.
@@ -83,6 +92,7 @@
     std::atomic<std::uint64_t> m_other_queued_tokens{0};
     std::atomic<double> m_decode_rate{0};
     std::atomic<double> m_prefill_rate{0};
+    std::atomic<double> m_observed_prefill_rate{0};
     std::atomic<std::uint32_t> m_hint_generation{0};
     std::atomic<std::uint64_t> m_cache_sequence{0};
     std::atomic<std::uint64_t> m_sequence{0};
--- a/Libraries/routing/include/siskinwharf/routing/in_flight_guard.h
+++ b/Libraries/routing/include/siskinwharf/routing/in_flight_guard.h
@@ -16,8 +16,12 @@
     in_flight_guard() = default;
     /// Takes over a slot that `endpoint_load::try_begin` has granted for these token counts.
     in_flight_guard(std::shared_ptr<endpoint_load> load, std::uint64_t prompt_tokens,
-                    std::uint64_t output_tokens)
-        : m_load(std::move(load)), m_queued_tokens(prompt_tokens), m_tokens(prompt_tokens + output_tokens)
+                    std::uint64_t output_tokens, monotonic_time begun)
+        : m_load(std::move(load)),
+          m_queued_tokens(prompt_tokens),
+          m_tokens(prompt_tokens + output_tokens),
+          m_queued_at_begin(m_load->queued_prompt_tokens()),
+          m_begun(begun)
     {
     }
     in_flight_guard(const in_flight_guard&) = delete;
@@ -31,17 +35,21 @@
         m_load = std::move(other.m_load);
         m_queued_tokens = other.m_queued_tokens;
         m_tokens = other.m_tokens;
+        m_queued_at_begin = other.m_queued_at_begin;
+        m_begun = other.m_begun;
         return *this;
     }
     ~in_flight_guard() { release_at_latest_time(); }
 
     [[nodiscard]] bool holds_slot() const { return m_load != nullptr; }
 
-    /// The first token has arrived.
-    void prefill_done()
+    /// The first token has arrived. Later calls have no effect.
+    void prefill_done(monotonic_time now)
     {
-        if (m_load)
-            m_load->prefill_done(std::exchange(m_queued_tokens, 0));
+        if (!m_load || m_queued_tokens == 0)
+            return;
+        m_load->observe_prefill(m_queued_at_begin, now - m_begun);
+        m_load->prefill_done(std::exchange(m_queued_tokens, 0));
     }
 
     /// Frees the slot. Preferred over the destructor, which only knows the newest time the endpoint has seen.
@@ -61,6 +69,8 @@
     std::shared_ptr<endpoint_load> m_load;
     std::uint64_t m_queued_tokens = 0;
     std::uint64_t m_tokens = 0;
+    std::uint64_t m_queued_at_begin = 0;
+    monotonic_time m_begun{};
 };
 
 } // namespace siskinwharf::routing
--- a/Libraries/routing/include/siskinwharf/routing/router.h
+++ b/Libraries/routing/include/siskinwharf/routing/router.h
@@ -22,6 +22,11 @@
     /// Another region must be cheaper by this share, so that small price changes do not move caches around.
     double required_price_advantage = 0.1;
     std::size_t cache_hint_slots = 1U << 16U; ///< 32 bytes each.
+    /// Without a load report of this age a process does not know how many streams of others an engine runs.
+    nanoseconds report_lifetime = seconds(3);
+    /// Part of an engine's capacity that one process uses without such a report: capacity / divisor, at least
+    /// one stream. 1 means all of it.
+    std::uint32_t unreported_capacity_divisor = 1;
 };
 
 /// What an endpoint says about its prefix cache.
--- a/Libraries/routing/src/endpoint_load.cpp
+++ b/Libraries/routing/src/endpoint_load.cpp
@@ -8,6 +8,7 @@
 
 // A new rate counts a quarter, so that one slow batch does not move an endpoint out of the latency target.
 constexpr double rate_weight = 0.25;
+constexpr double observed_fall_weight = 0.1;
 
 void smooth(std::atomic<double>& rate, double reported)
 {
@@ -64,6 +65,18 @@
     m_own_queued_tokens.fetch_sub(prompt_tokens, std::memory_order_relaxed);
 }
 
+void endpoint_load::observe_prefill(std::uint64_t tokens, nanoseconds elapsed)
+{
+    if (tokens == 0 || elapsed <= nanoseconds(0))
+        return;
+    const double sample = static_cast<double>(tokens) / std::chrono::duration<double>(elapsed).count();
+    const double previous = m_observed_prefill_rate.load(std::memory_order_relaxed);
+    // Short prompts without a queue measure the round trip and not the prefill, so a lower sample counts
+    // little.
+    const double next = sample > previous ? sample : previous + observed_fall_weight * (sample - previous);
+    m_observed_prefill_rate.store(next, std::memory_order_relaxed);
+}
+
 void endpoint_load::end(monotonic_time now, std::uint64_t queued_prompt_tokens, std::uint64_t tokens)
 {
     const auto before = m_own_streams.fetch_sub(1, std::memory_order_relaxed);
--- a/Libraries/routing/src/group_selection.cpp
+++ b/Libraries/routing/src/group_selection.cpp
@@ -27,6 +27,16 @@
 
 } // namespace
 
+std::uint32_t usable_capacity(const endpoint_entry& entry, const routing_options& options, monotonic_time now)
+{
+    const bool reports = std::holds_alternative<model_target>(entry.info->serves);
+    const bool is_recent = entry.load->last_report_sequence() != 0 &&
+                           now - entry.load->last_report_at() <= options.report_lifetime;
+    if (!reports || is_recent || options.unreported_capacity_divisor <= 1)
+        return entry.capacity;
+    return std::min(entry.capacity, std::max(entry.capacity / options.unreported_capacity_divisor, 1U));
+}
+
 group_selection::group_selection(const prepared_request& prepared, const endpoint_group& group,
                                  nanoseconds round_trip)
     : m_prepared(prepared), m_group(group), m_round_trip(round_trip)
@@ -103,17 +113,23 @@
     if (excluded(entry))
         return std::nullopt;
     m_saw_endpoint = true;
-    if (entry.load->streams() >= entry.capacity)
+    if (entry.load->streams() >= usable_capacity(entry, m_prepared.options, m_prepared.now))
         return std::nullopt;
     m_saw_room = true;
     const auto& request = m_prepared.request;
     auto first_token = m_round_trip;
     // An endpoint without any report yet counts as fast; otherwise a new one would never get its first
     // request.
-    if (const double rate = entry.load->prefill_rate(); rate > 0) {
+    const auto queued = entry.load->queued_prompt_tokens();
+    double rate = entry.load->prefill_rate();
+    // An observed rate is too low after short prompts, so it never keeps a request from an endpoint without a
+    // queue.
+    if (rate <= 0 && queued > 0)
+        rate = entry.load->observed_prefill_rate();
+    if (rate > 0) {
         const auto cached = std::uint64_t{cached_blocks} * m_prepared.options.prompt_tokens_per_block;
         const auto missing = request.prompt_tokens > cached ? request.prompt_tokens - cached : 0;
-        const double wait = static_cast<double>(entry.load->queued_prompt_tokens() + missing) / rate;
+        const double wait = static_cast<double>(queued + missing) / rate;
         first_token += std::chrono::duration_cast<nanoseconds>(std::chrono::duration<double>(wait));
     }
     if (request.first_token_target.count() > 0 && first_token > request.first_token_target)
--- a/Libraries/routing/src/group_selection.h
+++ b/Libraries/routing/src/group_selection.h
@@ -14,6 +14,7 @@
     const routing_request& request;
     const routing_options& options;
     const cache_hints& hints;
+    monotonic_time now;
     std::uint64_t affinity_key = 0;
     std::uint64_t turn = 0;
     std::vector<std::uint64_t> excluded_keys;
@@ -26,6 +27,11 @@
     nanoseconds first_token{0};
 };
 
+/// Streams that this process may have on an endpoint. Other entry processes send work to it as well; a
+/// process that has no recent report of them must not count on the whole capacity.
+[[nodiscard]] std::uint32_t usable_capacity(const endpoint_entry& entry, const routing_options& options,
+                                            monotonic_time now);
+
 /// Selects an endpoint of one group by the policy in force.
 class group_selection {
 public:
--- a/Libraries/routing/src/router.cpp
+++ b/Libraries/routing/src/router.cpp
@@ -148,9 +148,9 @@
 };
 
 prepared_request prepare(const routing_request& request, const routing_options& options,
-                         const cache_hints& hints, std::uint64_t turn)
+                         const cache_hints& hints, std::uint64_t turn, monotonic_time now)
 {
-    prepared_request prepared{request, options, hints, 0, turn, {}};
+    prepared_request prepared{request, options, hints, now, 0, turn, {}};
     const auto blocks = std::min(request.prefix_hashes.size(), std::visit(affinity_blocks{}, options.policy));
     // A prompt shorter than a block has nothing to share, so such prompts are spread.
     prepared.affinity_key = mix64(blocks > 0 ? request.prefix_hashes[blocks - 1] : turn);
@@ -170,7 +170,7 @@
 routing_decision router::choose(const routing_request& request, monotonic_time now)
 {
     const auto prepared =
-        prepare(request, m_options, m_hints, m_turn.fetch_add(1, std::memory_order_relaxed));
+        prepare(request, m_options, m_hints, m_turn.fetch_add(1, std::memory_order_relaxed), now);
     const rcu_read_section section;
     const auto& snapshot = m_table.read(section);
     const auto known = snapshot.targets.find(request.serves);
@@ -182,13 +182,13 @@
         if (!found)
             return choice.reason();
         const auto& entry = *found->entry;
-        const std::uint32_t capacity = request.isolated ? 1 : entry.capacity;
+        const std::uint32_t capacity = request.isolated ? 1 : usable_capacity(entry, m_options, now);
         if (!entry.load->try_begin(now, capacity, request.prompt_tokens, request.output_tokens))
             continue;
         for (const auto hash : request.prefix_hashes)
             m_hints.store(hash, {entry.key, entry.load->hint_generation()});
         return chosen_endpoint{entry.info,
-                               in_flight_guard(entry.load, request.prompt_tokens, request.output_tokens),
+                               in_flight_guard(entry.load, request.prompt_tokens, request.output_tokens, now),
                                found->cached_blocks, found->first_token};
     }
     return no_endpoint::all_full;
@@ -211,7 +211,7 @@
 
 double router::price_of(const routing_request& request, const endpoint_info& endpoint) const
 {
-    const prepared_request prepared{request, m_options, m_hints, 0, 0, {}};
+    const prepared_request prepared{request, m_options, m_hints, {}, 0, 0, {}};
     const rcu_read_section section;
     const target_endpoints none;
     return decision(prepared, none, m_table.read(section).egress)
--- a/Libraries/routing/tests/routing_test.cpp
+++ b/Libraries/routing/tests/routing_test.cpp
@@ -110,6 +110,58 @@
     CHECK(table.find_load(endpoint_id("e2"))->streams() == 2);
 }
 
+// Three failure domains that each filled an engine's whole capacity overloaded it: first tokens came after 3
+// s.
+TEST_CASE("an engine without a recent report gets a part of its capacity")
+{
+    struct report_case {
+        target serves;
+        std::int64_t report_age_ms; ///< Negative: no report.
+        std::uint32_t streams;
+    };
+    const auto example =
+        GENERATE(report_case{dough, -1, 2}, report_case{dough, 2'900, 16}, report_case{dough, 3'100, 2},
+                 report_case{service_target{service_id("orders")}, -1, 16});
+    routing_options options;
+    options.unreported_capacity_divisor = 8;
+    routing_table table;
+    router routes(table, options);
+    auto info = endpoint(1);
+    info.capacity = 16;
+    info.serves = example.serves;
+    table.publish({{info}, {}, {}});
+    if (example.report_age_ms >= 0) {
+        load_report report;
+        report.sequence = 1;
+        report.measured_at = at(0);
+        REQUIRE(table.apply_report(info.id, report, at(0)));
+    }
+    auto wanted = request();
+    wanted.serves = example.serves;
+    std::vector<routing_decision> held;
+    while (held.empty() || std::holds_alternative<chosen_endpoint>(held.back()))
+        held.push_back(routes.choose(wanted, at(std::max<std::int64_t>(example.report_age_ms, 0))));
+    CHECK(held.size() - 1 == example.streams);
+}
+
+// Engines report no prefill rate in /load, so that requests were sent to engines whose queue already took
+// seconds.
+TEST_CASE("a request avoids an engine whose observed prefill rate misses the first-token target")
+{
+    routing_table table;
+    router routes(table, {});
+    table.publish({{endpoint(1)}, {}, {}});
+    auto wanted = request();
+    wanted.first_token_target = milliseconds(800);
+    auto first = routes.choose(wanted, at(0));
+    std::get<chosen_endpoint>(first).guard.prefill_done(at(500)); // 512 tokens/s.
+    auto without_queue = routes.choose(wanted, at(600));
+    CHECK(id_of(without_queue) == "e1");
+    CHECK(id_of(routes.choose(wanted, at(600))) == "target_cannot_be_met");
+    std::get<chosen_endpoint>(without_queue).guard.prefill_done(at(1'100));
+    CHECK(id_of(routes.choose(wanted, at(1'200))) == "e1");
+}
+
 TEST_CASE("another region is used only where the target or the price pays for the volume")
 {
     auto local = endpoint(1);
--- a/Services/siskinwharf/src/load_generator.cpp
+++ b/Services/siskinwharf/src/load_generator.cpp
@@ -200,6 +200,7 @@
     auto message = make_post("/v1/chat/completions", asked.api_key, asked.body);
     message.headers.push_back({"Siskinwharf-Request-Id", asked.id});
     message.headers.push_back({"Siskinwharf-Deadline-Ms", std::to_string(m_options.deadline_ms)});
+    state.asked = now();
     try {
         const auto stream = co_await m_client.open(pick_target(), std::move(message), header_timeout);
         if (stream->status() != 200)
@@ -315,10 +316,12 @@
     if (!text.empty() && text.front() == ' ')
         text.erase(0, 1);
     const auto time = now();
-    if (state.contents.empty())
+    if (state.contents.empty()) {
         m_report.first_token.add(milliseconds_between(state.started, time));
-    else
+        m_report.admitted_first_token.add(milliseconds_between(state.asked, time));
+    } else {
         m_report.between_tokens.add(milliseconds_between(state.last_token, time));
+    }
     state.last_token = time;
     state.contents.push_back(std::move(text));
 }
--- a/Services/siskinwharf/src/load_generator.h
+++ b/Services/siskinwharf/src/load_generator.h
@@ -40,6 +40,7 @@
         bool done = false;
         bool failed = false;
         monotonic_time started;
+        monotonic_time asked; ///< When the last try was sent.
         monotonic_time last_token;
     };
     enum class try_result { whole, broken, refused_for_now, refused };
--- a/Services/siskinwharf/src/load_report.cpp
+++ b/Services/siskinwharf/src/load_report.cpp
@@ -68,6 +68,7 @@
         table += fmt::format("  refusal {:<18}{:>10}\n", type, count);
     table += fmt::format("{:<28}{:>10}{:>10}{:>10}{:>10}\n", "latency in ms", "p50", "p95", "p99", "count");
     table += latency_row("first token", report.first_token);
+    table += latency_row("first token, admitted", report.admitted_first_token);
     table += latency_row("between tokens", report.between_tokens);
     table += latency_row("whole answer", report.whole_answer);
     for (const auto& [account, sample] : report.first_token_by_account)
@@ -95,6 +96,7 @@
         {"false_done", report.false_done},
         {"tokens", report.tokens},
         {"first_token_ms", latency_object(report.first_token)},
+        {"admitted_first_token_ms", latency_object(report.admitted_first_token)},
         {"between_tokens_ms", latency_object(report.between_tokens)},
         {"whole_answer_ms", latency_object(report.whole_answer)},
     };
--- a/Services/siskinwharf/src/load_report.h
+++ b/Services/siskinwharf/src/load_report.h
@@ -37,7 +37,8 @@
     std::uint64_t false_not_run = 0; ///< Calls that ran although the caller was told `not_run`.
     std::uint64_t false_done = 0;    ///< Calls that did not run although the caller was told they did.
     std::uint64_t tokens = 0;
-    latency_sample first_token;
+    latency_sample first_token;          ///< From the first try, with the time of all refused ones.
+    latency_sample admitted_first_token; ///< From the try that was admitted.
     latency_sample between_tokens;
     latency_sample whole_answer;
     std::map<std::string, latency_sample> first_token_by_account;
--- a/Services/siskinwharfd/src/admission_gate.h
+++ b/Services/siskinwharfd/src/admission_gate.h
@@ -108,7 +108,9 @@
     const routing::routing_table& m_table;
     const suspect_isolation& m_isolation;
     const std::size_t m_queue_length;
-    const admission::admission_control m_control{admission::admission_limits{}};
+    /// A caller that comes back sooner finds the same queue: a slot is held for the seconds of an answer.
+    static constexpr milliseconds minimum_retry{500};
+    const admission::admission_control m_control{admission::admission_limits{.minimum_retry = minimum_retry}};
     std::array<target_statistics, statistics_count> m_statistics{};
     std::atomic<std::size_t> m_waiting{0};
     std::atomic<std::uint64_t> m_next_number{1};
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -38,10 +38,15 @@
     return routing::prefix_affinity{};
 }
 
+/// Several entry processes and several failure domains send work to an engine before the first report of it
+/// arrives.
+constexpr std::uint32_t unreported_capacity_divisor = 8;
+
 routing::routing_options options_of(const settings::settings& settings)
 {
     routing::routing_options options;
     options.policy = policy_of(settings.policy);
+    options.unreported_capacity_divisor = unreported_capacity_divisor;
     return options;
 }
 
--- a/Services/siskinwharfd/src/model_runner.cpp
+++ b/Services/siskinwharfd/src/model_runner.cpp
@@ -51,6 +51,10 @@
 {
     m_history.deadline = m_request->spec().deadline;
     m_slot_limit = slot_limit();
+    // The endpoint needs the other half of the time for its own queue and the prefill. A request that got a
+    // slot later would be accepted only to miss its target.
+    if (const auto& spec = m_request->spec(); spec.first_token_target > milliseconds(0))
+        m_slot_limit = std::min(m_slot_limit, spec.received + spec.first_token_target / 2);
 }
 
 void model_runner::record(telemetry::latency kind, nanoseconds duration) const
@@ -241,7 +245,7 @@
     if (!info || !load ||
         !load->try_begin(now(), std::numeric_limits<std::uint32_t>::max(), 0, output_tokens))
         return std::nullopt;
-    return routing::chosen_endpoint{info, routing::in_flight_guard(load, 0, output_tokens), 0,
+    return routing::chosen_endpoint{info, routing::in_flight_guard(load, 0, output_tokens, now()), 0,
                                     nanoseconds(0)};
 }
 
@@ -257,8 +261,8 @@
     if (info && load && info->state == routing::endpoint_state::live &&
         !m_core.isolation.is_reserved(info->serves, info->id) &&
         load->try_begin(now(), info->capacity, prompt_tokens, output_tokens))
-        return routing::chosen_endpoint{info, routing::in_flight_guard(load, prompt_tokens, output_tokens), 0,
-                                        nanoseconds(0)};
+        return routing::chosen_endpoint{
+            info, routing::in_flight_guard(load, prompt_tokens, output_tokens, now()), 0, nanoseconds(0)};
     m_planned_target = {};
     return std::nullopt;
 }
@@ -348,7 +352,8 @@
             const auto arrived = m_request->tokens().size() - before;
             m_request->note_tokens(arrived, now());
             record_tokens(arrived);
-            chosen.guard.prefill_done();
+            if (arrived > 0)
+                chosen.guard.prefill_done(now());
             m_request->notify();
             if (m_request->readers == 0 && now() - m_request->abandoned_at > abandon_grace) {
                 m_request->attach(chosen.endpoint, nullptr);
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -185,6 +185,18 @@
     return result;
 }
 
+std::vector<endpoint_id> peer_node::used_remote_endpoints() const
+{
+    std::vector<endpoint_id> result;
+    const routing::rcu_read_section section;
+    for (const auto& [id, entry] : m_core.table.read(section).endpoints) {
+        if (entry.info->domain != m_core.settings.failure_domain && entry.load->own_streams() > 0 &&
+            std::holds_alternative<routing::model_target>(entry.info->serves))
+            result.push_back(id);
+    }
+    return result;
+}
+
 asio::awaitable<void> peer_node::run_load_polls()
 {
     asio::steady_timer timer(m_control);
@@ -194,6 +206,8 @@
                                                          m_members.working_members(), own_endpoints());
         for (const auto& endpoint : polled)
             asio::co_spawn(m_control, poll_load(endpoint, digest), asio::detached);
+        for (const auto& endpoint : used_remote_endpoints())
+            asio::co_spawn(m_control, poll_load(endpoint, nullptr), asio::detached);
         timer.expires_after(load_poll_period);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
         if (digest->loads.empty())
@@ -212,7 +226,8 @@
     const http::address target{info->address, info->port};
     try {
         const auto answer = co_await m_client.call(target, std::move(message), load_poll_timeout);
-        m_callbacks.on_probe(endpoint, true);
+        if (digest)
+            m_callbacks.on_probe(endpoint, true);
         boost::system::error_code error;
         const auto document = boost::json::parse(answer.body, error);
         if (error || !document.is_object())
@@ -223,10 +238,12 @@
         entry.in_flight = number_of(load, "in_flight") + number_of(load, "queued");
         entry.free_slots = number_of(load, "free");
         entry.sequence = number_of(load, "sequence");
-        digest->loads.push_back(entry);
+        if (digest)
+            digest->loads.push_back(entry);
         apply_load(endpoint, entry);
     } catch (const http::call_error&) {
-        m_callbacks.on_probe(endpoint, false);
+        if (digest)
+            m_callbacks.on_probe(endpoint, false);
     }
 }
 
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -70,6 +70,8 @@
     void apply_load(const endpoint_id& endpoint, const peer::load_digest& load);
     [[nodiscard]] std::vector<membership::member_info> working_peers() const;
     [[nodiscard]] std::vector<endpoint_id> own_endpoints() const;
+    /// Engines of other failure domains that run streams of this process. Nobody else tells it their load.
+    [[nodiscard]] std::vector<endpoint_id> used_remote_endpoints() const;
 
     boost::asio::io_context& m_control;
     entry_core& m_core;
--- a/Services/siskinwharfd/src/suspect_isolation.cpp
+++ b/Services/siskinwharfd/src/suspect_isolation.cpp
@@ -94,7 +94,7 @@
         !load->try_begin(now(), 1, request.prompt_tokens, request.output_tokens))
         return std::nullopt;
     state.running.emplace(*endpoint, key);
-    routing::in_flight_guard guard(load, request.prompt_tokens, request.output_tokens);
+    routing::in_flight_guard guard(load, request.prompt_tokens, request.output_tokens, now());
     return routing::chosen_endpoint{info, std::move(guard), 0, nanoseconds(0)};
 }
 
--- a/Services/siskinwharfd/tests/suspect_test.cpp
+++ b/Services/siskinwharfd/tests/suspect_test.cpp
@@ -130,7 +130,7 @@
     for (const auto* name : {"e1", "e2"}) {
         auto load = test.core.table.find_load(endpoint_id(name));
         REQUIRE(load->try_begin(now(), 8, 1, 1));
-        busy.emplace_back(std::move(load), 1, 1);
+        busy.emplace_back(std::move(load), 1, 1, now());
     }
     CHECK_FALSE(isolate(test, "a"));
     CHECK_FALSE(test.core.isolation.any_reserved());
