Peer: Add messages for claim writes and requests sent at most once

A request that fails on an idle connection is sent a second time, and ends as peer_unreachable if that fails, although the peer may have received the first. A claim write needs to know whether it may still take effect, so delivery_count::at_most_once ends such a request as connection_lost. Changing the repetition for all requests was ruled out: the others are idempotent and gain from it.

--- a/Libraries/peer/include/siskinwharf/peer/messages.h
+++ b/Libraries/peer/include/siskinwharf/peer/messages.h
@@ -286,10 +286,50 @@
     auto operator<=>(const isolation_reply&) const = default;
 };
 
+/// One conditional write of a claim row.
+struct claim_write {
+    std::string key;
+    std::string value;
+    std::uint64_t version = 0; ///< Required version of the row; 0 if it must not exist.
+
+    auto operator<=>(const claim_write&) const = default;
+};
+
+/// Asks the committer of the failure domain to write claim rows, each for itself.
+struct claim_commit_request {
+    std::vector<claim_write> writes;
+    milliseconds wait{0}; ///< After which the sender wants an answer, with or without the table's.
+
+    auto operator<=>(const claim_commit_request&) const = default;
+};
+
+/// What became of a claim write. `unavailable`: it was not sent to the table and will not be. `uncertain`: it
+/// was sent and may still take effect.
+enum class claim_write_state : std::uint8_t { committed, conflict, unavailable, uncertain };
+
+/// Result of one claim write.
+struct claim_write_result {
+    claim_write_state state = claim_write_state::uncertain;
+    std::string current;       ///< Value of the row on a conflict.
+    std::uint64_t version = 0; ///< Version of the row on a conflict; 0 if there is none.
+
+    auto operator<=>(const claim_write_result&) const = default;
+};
+
+/// Answer to a `claim_commit_request`. If it was not accepted, none of its writes will be sent to the table;
+/// otherwise there is one result for each write, in order.
+struct claim_commit_reply {
+    bool accepted = false;
+    std::vector<claim_write_result> results;
+
+    auto operator<=>(const claim_commit_reply&) const = default;
+};
+
 /// All messages. The position of a type is its number in the frame: append new ones at the end.
 using message = std::variant<ping, ack, ping_request, member_join, member_sync, load_report, endpoint_notices,
                              summary_request, summary_reply, sheet_request, sheet_reply, locate_request,
                              locate_reply, handover_request, handover_reply, claim_status_request,
-                             claim_status_reply, quarantine_update, isolation_request, isolation_reply>;
+                             claim_status_reply, quarantine_update, isolation_request, isolation_reply,
+                             claim_commit_request, claim_commit_reply>;
 
 } // namespace siskinwharf::peer
--- a/Libraries/peer/include/siskinwharf/peer/peer_transport.h
+++ b/Libraries/peer/include/siskinwharf/peer/peer_transport.h
@@ -36,11 +36,12 @@
     std::optional<frame_too_long> send(const instance_id& recipient, const address& contact,
                                        const message& body);
 
-    /// Sends a request over TCP and waits for its reply. A request that fails on a connection that was idle
-    /// is sent once more on a new one, so the peer can receive it twice. Ends at the timeout at the latest;
-    /// cancelling it has no effect before.
-    [[nodiscard]] boost::asio::awaitable<request_result> request(instance_id recipient, address contact,
-                                                                 message body, milliseconds timeout);
+    /// Sends a request over TCP and waits for its reply. Unless `sending` says otherwise, a request that
+    /// fails on a connection that was idle is sent once more on a new one, so the peer can receive it twice.
+    /// Ends at the timeout at the latest; cancelling it has no effect before.
+    [[nodiscard]] boost::asio::awaitable<request_result>
+    request(instance_id recipient, address contact, message body, milliseconds timeout,
+            delivery_count sending = delivery_count::may_repeat);
 
     [[nodiscard]] transport_counters counters() const;
 
--- a/Libraries/peer/include/siskinwharf/peer/transport_options.h
+++ b/Libraries/peer/include/siskinwharf/peer/transport_options.h
@@ -38,6 +38,12 @@
     std::size_t queued_datagrams = 1024; ///< Further ones are dropped.
 };
 
+/// How often a peer may receive a request.
+enum class delivery_count : std::uint8_t {
+    may_repeat,
+    at_most_once, ///< `peer_unreachable` and `too_many_requests` then mean that the peer did not receive it.
+};
+
 /// No answer came before the deadline. The peer may have acted on the request.
 struct request_timed_out {
     auto operator<=>(const request_timed_out&) const = default;
--- a/Libraries/peer/peer.thrift
+++ b/Libraries/peer/peer.thrift
@@ -165,3 +165,26 @@
   1: bool granted
   2: i32 in_flight
 }
+
+// Version 0 means that the row must not exist.
+struct claim_write {
+  1: string key
+  2: binary value
+  3: i64 version
+}
+
+struct claim_commit_request {
+  1: list<claim_write> writes
+  2: i64 wait_ms
+}
+
+struct claim_write_result {
+  1: i8 state
+  2: binary current
+  3: i64 version
+}
+
+struct claim_commit_reply {
+  1: bool accepted
+  2: list<claim_write_result> results
+}
--- a/Libraries/peer/src/conversion.cpp
+++ b/Libraries/peer/src/conversion.cpp
@@ -143,6 +143,34 @@
     return {account_id(value.account), value.digest, to_unsigned(value.crashes)};
 }
 
+wire::claim_write to_wire(const claim_write& value)
+{
+    wire::claim_write result;
+    result.key = value.key;
+    result.value = value.value;
+    result.version = to_signed(value.version);
+    return result;
+}
+
+claim_write from_wire(const wire::claim_write& value)
+{
+    return {value.key, value.value, to_unsigned(value.version)};
+}
+
+wire::claim_write_result to_wire(const claim_write_result& value)
+{
+    wire::claim_write_result result;
+    result.state = to_byte(value.state);
+    result.current = value.current;
+    result.version = to_signed(value.version);
+    return result;
+}
+
+claim_write_result from_wire(const wire::claim_write_result& value)
+{
+    return {to_enum(value.state, claim_write_state::uncertain), value.current, to_unsigned(value.version)};
+}
+
 // Declared here because summaries are elements of lists and contain one themselves.
 wire::domain_summary to_wire(const domain_summary& value);
 domain_summary from_wire(const wire::domain_summary& value);
@@ -490,4 +518,30 @@
     return {value.granted, to_unsigned(value.in_flight)};
 }
 
+wire::claim_commit_request to_wire(const claim_commit_request& value)
+{
+    wire::claim_commit_request result;
+    result.writes = list_to_wire(value.writes);
+    result.wait_ms = value.wait.count();
+    return result;
+}
+
+claim_commit_request from_wire(const wire::claim_commit_request& value)
+{
+    return {list_from_wire(value.writes), to_duration(value.wait_ms)};
+}
+
+wire::claim_commit_reply to_wire(const claim_commit_reply& value)
+{
+    wire::claim_commit_reply result;
+    result.accepted = value.accepted;
+    result.results = list_to_wire(value.results);
+    return result;
+}
+
+claim_commit_reply from_wire(const wire::claim_commit_reply& value)
+{
+    return {value.accepted, list_from_wire(value.results)};
+}
+
 } // namespace siskinwharf::peer
--- a/Libraries/peer/src/peer_link.cpp
+++ b/Libraries/peer/src/peer_link.cpp
@@ -42,7 +42,8 @@
 {
 }
 
-asio::awaitable<request_result> peer_link::exchange(message body, monotonic_time deadline)
+asio::awaitable<request_result> peer_link::exchange(message body, monotonic_time deadline,
+                                                    delivery_count sending)
 {
     // A cancelled caller would otherwise end this function between taking and releasing a slot.
     co_await asio::this_coro::reset_cancellation_state(asio::disable_cancellation());
@@ -56,7 +57,7 @@
             co_return transport_error(transport_stopped{});
         co_return transport_error(request_timed_out{});
     }
-    request_result result = co_await exchange_in_slot(body, deadline);
+    request_result result = co_await exchange_in_slot(body, deadline, sending);
     release_slot();
     co_return result;
 }
@@ -91,7 +92,8 @@
     std::exchange(*first, nullptr)->cancel();
 }
 
-asio::awaitable<request_result> peer_link::exchange_in_slot(const message& body, monotonic_time deadline)
+asio::awaitable<request_result> peer_link::exchange_in_slot(const message& body, monotonic_time deadline,
+                                                            delivery_count sending)
 {
     if (!m_idle.empty()) {
         // The most recently used connection is the least likely to have been closed by the peer.
@@ -103,6 +105,8 @@
         if (!closed_while_idle || m_state->stopped())
             co_return result;
         m_idle.clear();
+        if (sending == delivery_count::at_most_once)
+            co_return result;
     }
     // Failing at once during the back-off lets the caller try the next peer.
     if (current_time() < m_retry_at)
--- a/Libraries/peer/src/peer_link.h
+++ b/Libraries/peer/src/peer_link.h
@@ -25,7 +25,8 @@
     [[nodiscard]] const boost::asio::any_io_executor& strand() const { return m_strand; }
 
     /// Sends a request and waits for its reply.
-    [[nodiscard]] boost::asio::awaitable<request_result> exchange(message body, monotonic_time deadline);
+    [[nodiscard]] boost::asio::awaitable<request_result> exchange(message body, monotonic_time deadline,
+                                                                  delivery_count sending);
 
     /// Closes connections that have been idle for longer than the timeout.
     void close_idle(monotonic_time time);
@@ -44,8 +45,8 @@
     [[nodiscard]] boost::asio::awaitable<std::shared_ptr<connection>> connect(monotonic_time deadline);
     [[nodiscard]] boost::asio::awaitable<request_result>
     exchange_on(std::shared_ptr<connection> link, const message& body, monotonic_time deadline);
-    [[nodiscard]] boost::asio::awaitable<request_result> exchange_in_slot(const message& body,
-                                                                          monotonic_time deadline);
+    [[nodiscard]] boost::asio::awaitable<request_result>
+    exchange_in_slot(const message& body, monotonic_time deadline, delivery_count sending);
     void back_off(monotonic_time time);
 
     boost::asio::any_io_executor m_strand;
--- a/Libraries/peer/src/peer_transport.cpp
+++ b/Libraries/peer/src/peer_transport.cpp
@@ -167,14 +167,14 @@
 }
 
 asio::awaitable<request_result> peer_transport::request(instance_id recipient, address contact, message body,
-                                                        milliseconds timeout)
+                                                        milliseconds timeout, delivery_count sending)
 {
     const monotonic_time deadline = std::chrono::steady_clock::now() + timeout;
     if (m_implementation->state().stopped())
         co_return transport_error(transport_stopped{});
     const auto link = m_implementation->link_to(recipient, contact);
-    request_result result = co_await asio::co_spawn(link->strand(), link->exchange(std::move(body), deadline),
-                                                    asio::use_awaitable);
+    request_result result = co_await asio::co_spawn(
+        link->strand(), link->exchange(std::move(body), deadline, sending), asio::use_awaitable);
     co_return result;
 }
 
--- a/Libraries/peer/tests/frame_test.cpp
+++ b/Libraries/peer/tests/frame_test.cpp
@@ -43,6 +43,9 @@
         quarantine_update{{{account_id("bakery"), std::string(32, '\xAB'), 2}}},
         isolation_request{endpoint_id("m-3"), request_id("r-1"), milliseconds(500)},
         isolation_reply{true, 4},
+        claim_commit_request{{{"claim/bakery/0", std::string("{\0\xFF}", 4), UINT64_MAX}},
+                             milliseconds(1500)},
+        claim_commit_reply{true, {{claim_write_state::conflict, std::string("{\0\xFF}", 4), UINT64_MAX}}},
     };
 }
 
--- a/Libraries/peer/tests/peer_transport_test.cpp
+++ b/Libraries/peer/tests/peer_transport_test.cpp
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <functional>
 #include <future>
 #include <thread>
@@ -188,6 +189,31 @@
     CHECK(failed_with<transport_stopped>(get(setup.request(*sender, receiver->local_address(), 1))));
 }
 
+TEST_CASE("a request that is to arrive at most once is not repeated when its connection breaks")
+{
+    // Guards against a write that two peers' copies carry out, and against "not sent" for one that was sent.
+    fixture setup;
+    const auto handler = std::make_shared<fake_handler>();
+    std::atomic<int> received = 0;
+    handler->on_request = [&received](const frame& request) -> asio::awaitable<std::optional<message>> {
+        // Without an answer the receiver closes the connection.
+        if (++received > 1)
+            co_return std::nullopt;
+        co_return sheet_reply{std::get<sheet_request>(request.body).version, {}};
+    };
+    const auto sender = setup.make(a, std::make_shared<fake_handler>());
+    const auto receiver = setup.make(b, handler);
+    const auto contact = receiver->local_address();
+    CHECK(std::holds_alternative<message>(get(setup.request(*sender, contact, 1))));
+    auto once =
+        asio::co_spawn(setup.context(),
+                       sender->request(b, contact, sheet_request{2}, generous, delivery_count::at_most_once),
+                       asio::use_future);
+    const auto result = get(std::move(once));
+    CHECK(failed_with<connection_lost>(result));
+    CHECK(received == 2);
+}
+
 TEST_CASE("a silent peer and an absent peer give different errors, and an absent one is not tried at once")
 {
     fixture setup;
