--- a/Libraries/claims/include/siskinwharf/claims/claim_batcher.h
+++ b/Libraries/claims/include/siskinwharf/claims/claim_batcher.h
@@ -50,6 +50,9 @@
     /// Queues a write. Returns nothing if the queue is full: the write will not be sent, which for a claim is
     /// the same as `platform::table_unavailable`.
     [[nodiscard]] std::optional<write_ticket> submit(platform::table_write write, monotonic_time now);
+    /// Takes a write back that is not in flight. Returns false if it is, or has its result. A write that was
+    /// taken back has not taken effect and will not.
+    [[nodiscard]] bool withdraw(write_ticket ticket);
     /// Returns a group if one is due and another transaction may be in flight.
     [[nodiscard]] std::optional<write_batch> next_batch(monotonic_time now);
     /// Returns when `next_batch` has to be called at the latest if no result comes before.
--- a/Libraries/claims/src/claim_batcher.cpp
+++ b/Libraries/claims/src/claim_batcher.cpp
@@ -26,6 +26,30 @@
     return m_next_ticket++;
 }
 
+bool claim_batcher::withdraw(write_ticket ticket)
+{
+    const auto has_ticket = [ticket](const queued_write& queued) {
+        return queued.ticket == ticket;
+    };
+    if (const auto found = std::ranges::find_if(m_queue, has_ticket); found != m_queue.end()) {
+        m_queue_bytes -= bytes_of(found->write);
+        m_queue.erase(found);
+        --m_size;
+        return true;
+    }
+    for (auto members = m_again.begin(); members != m_again.end(); ++members) {
+        const auto found = std::ranges::find_if(*members, has_ticket);
+        if (found == members->end())
+            continue;
+        members->erase(found);
+        if (members->empty())
+            m_again.erase(members);
+        --m_size;
+        return true;
+    }
+    return false;
+}
+
 std::optional<write_batch> claim_batcher::next_batch(monotonic_time now)
 {
     if (m_in_flight.size() >= m_limits.maximum_in_flight)
--- a/Libraries/claims/tests/claim_batcher_test.cpp
+++ b/Libraries/claims/tests/claim_batcher_test.cpp
@@ -20,6 +20,31 @@
 
 } // namespace
 
+TEST_CASE("a write can be taken back until its group is in flight")
+{
+    // Guards against a write that is reported as not sent and goes out later, and against a wrong count.
+    claim_batcher batcher(small_limits());
+    const auto a = batcher.submit(write_of("a"), start);
+    const auto b = batcher.submit(write_of("b"), start);
+    REQUIRE((a && b));
+    CHECK(batcher.withdraw(*a));
+    CHECK_FALSE(batcher.withdraw(*a));
+    const auto first = batcher.next_batch(start + milliseconds{30});
+    REQUIRE(first);
+    CHECK(first->transaction.writes == std::vector{write_of("b")});
+    CHECK_FALSE(batcher.withdraw(*b));
+    // A write that waits for another try because its group conflicted is not in flight either.
+    const auto c = batcher.submit(write_of("c"), start);
+    const auto d = batcher.submit(write_of("d"), start);
+    const auto second = batcher.next_batch(start + milliseconds{30});
+    REQUIRE((c && d && second));
+    CHECK(batcher.on_result(second->number, platform::table_conflict{{{0, std::nullopt}}}).size() == 1);
+    CHECK(batcher.withdraw(*d));
+    CHECK(batcher.on_result(first->number, platform::table_committed{}).size() == 1);
+    CHECK(batcher.size() == 0);
+    CHECK_FALSE(batcher.next_batch(start + milliseconds{60}));
+}
+
 TEST_CASE("a group goes out when it reaches a limit and not before")
 {
     struct limit_case {
