Services: Report the latency of non-idempotent calls in siskinwharf load

The load generator counted calls but did not time them, so the cost of claims could not be measured. call_ms is the time from the first send of a call that was done, with all resends.

--- a/Services/siskinwharf/src/load_generator.cpp
+++ b/Services/siskinwharf/src/load_generator.cpp
@@ -366,7 +366,8 @@
     ++m_report.calls;
     auto end = call_end::unknown;
     std::string release_token;
-    const auto give_up_at = now() + milliseconds(m_options.deadline_ms);
+    const auto start = now();
+    const auto give_up_at = start + milliseconds(m_options.deadline_ms);
     for (int attempt = 0; attempt < most_tries && now() < give_up_at; ++attempt) {
         auto message = make_post("/services/" + m_options.service + m_options.call_path, api_key,
                                  R"({"call":")" + key + R"("})");
@@ -399,6 +400,8 @@
         ++m_report.retried;
         co_await pause_for(pause);
     }
+    if (end == call_end::done)
+        m_report.call.add(milliseconds_between(start, now()));
     m_calls[key] = end;
     m_report.calls_done += end == call_end::done ? 1 : 0;
     m_report.calls_not_run += end == call_end::not_run ? 1 : 0;
--- a/Services/siskinwharf/src/load_report.cpp
+++ b/Services/siskinwharf/src/load_report.cpp
@@ -70,6 +70,7 @@
     table += latency_row("first token", report.first_token);
     table += latency_row("between tokens", report.between_tokens);
     table += latency_row("whole answer", report.whole_answer);
+    table += latency_row("call", report.call);
     for (const auto& [account, sample] : report.first_token_by_account)
         table += latency_row(("  first token " + account).c_str(), sample);
     return table;
@@ -97,6 +98,7 @@
         {"first_token_ms", latency_object(report.first_token)},
         {"between_tokens_ms", latency_object(report.between_tokens)},
         {"whole_answer_ms", latency_object(report.whole_answer)},
+        {"call_ms", latency_object(report.call)},
     };
     return boost::json::serialize(body);
 }
--- a/Services/siskinwharf/src/load_report.h
+++ b/Services/siskinwharf/src/load_report.h
@@ -40,6 +40,7 @@
     latency_sample first_token;
     latency_sample between_tokens;
     latency_sample whole_answer;
+    latency_sample call; ///< Non-idempotent calls that were done, from the first send, with all resends.
     std::map<std::string, latency_sample> first_token_by_account;
     std::map<std::string, std::uint64_t> refusals; ///< By type.
 
--- a/Tests/system/scenario.py
+++ b/Tests/system/scenario.py
@@ -44,9 +44,9 @@
 
 
 def start(deployment, scenario, engines=1, services=1, entries=1, engine_options=(), service_options=(),
-          price=1000):
+          price=1000, platform_options=()):
     """Starts this many processes of each kind in each failure domain and waits until all are ready."""
-    deployment.start_platform()
+    deployment.start_platform(*platform_options)
     for region in scenario.regions:
         for number in range(1, engines + 1):
             deployment.start_engine(f"engine-{region}-{number}", region, scenario.model, scenario.version,
