Services: Ask holders of claims in other failure domains

A resend that met a claim whose holder is in another failure domain ended as holder_lost, because only the members of the own failure domain were asked. An unlisted or silent holder stays unknown, and so does a reply about another attempt.

--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -61,7 +61,10 @@
       m_committer(committer),
       m_callbacks(std::move(callbacks)),
       m_members(membership::member_options{}, core.settings.instance, contact_of(core.settings.listen.peers),
-                unix_milliseconds())
+                unix_milliseconds()),
+      m_holders([this](instance_id holder, peer::address contact, peer::message body, milliseconds timeout) {
+          return request_once(std::move(holder), std::move(contact), std::move(body), timeout);
+      })
 {
 }
 
@@ -94,6 +97,7 @@
 
 void peer_node::apply_instances(const std::vector<platform::instance_record>& records)
 {
+    m_holders.update(records);
     std::vector<membership::listed_instance> listed;
     for (const auto& record : records) {
         const bool is_peer = std::holds_alternative<platform::serves_entry>(record.serves) &&
@@ -345,28 +349,27 @@
     co_return false;
 }
 
+asio::awaitable<peer::request_result> peer_node::request_once(instance_id member, peer::address contact,
+                                                              peer::message body, milliseconds timeout)
+{
+    if (!m_transport)
+        co_return peer::transport_error(peer::peer_unreachable{});
+    auto operation = m_transport->request(std::move(member), std::move(contact), std::move(body), timeout,
+                                          peer::delivery_count::at_most_once);
+    co_return co_await std::move(operation);
+}
+
 asio::awaitable<claims::holder_reply>
 peer_node::query_claim(std::string holder, claims::claim_identity identity, claims::attempt_number attempt)
 {
+    std::optional<peer::address> contact;
     for (const auto& member : m_members.members()) {
-        if (member.member.value() != holder)
-            continue;
-        peer::message body = peer::claim_status_request{identity.account, identity.key, attempt};
-        auto result =
-            co_await m_transport->request(member.member, member.contact, std::move(body), request_timeout);
-        const auto* answer = std::get_if<peer::message>(&result);
-        const auto* reply = answer != nullptr ? std::get_if<peer::claim_status_reply>(answer) : nullptr;
-        if (reply == nullptr)
-            co_return claims::holder_unknown{};
-        if (reply->state == peer::claim_state::running)
-            co_return claims::holder_running{};
-        if (reply->state == peer::claim_state::voided)
-            co_return claims::holder_abandoned{};
-        co_return claims::holder_unknown{};
+        if (member.member.value() == holder)
+            contact = member.contact;
     }
-    // FIXME: A holder in another failure domain is not asked; its claim ends as unknown until its row is
-    // final.
-    co_return claims::holder_unknown{};
+    auto operation =
+        m_holders.ask(instance_id(std::move(holder)), std::move(contact), std::move(identity), attempt);
+    co_return co_await std::move(operation);
 }
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "claim_committer.h"
+#include "claim_holders.h"
 #include "entry_core.h"
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/membership/member_table.h"
@@ -50,7 +51,10 @@
     boost::asio::awaitable<std::optional<instance_id>> locate(request_id request);
     /// Hands a request to one member after another until one accepts it.
     boost::asio::awaitable<bool> hand_over(peer::request_record record);
-    /// Asks the holder of a claim about its attempt.
+    /// Sends a request that the peer receives at most once.
+    boost::asio::awaitable<peer::request_result> request_once(instance_id member, peer::address contact,
+                                                              peer::message body, milliseconds timeout);
+    /// Asks the holder of a claim, in any failure domain, about its attempt.
     boost::asio::awaitable<claims::holder_reply>
     query_claim(std::string holder, claims::claim_identity identity, claims::attempt_number attempt);
     [[nodiscard]] std::vector<membership::member_info> members() const { return m_members.members(); }
@@ -79,6 +83,7 @@
     std::mt19937_64 m_random{std::random_device{}()};
     membership::member_table m_members;
     std::unique_ptr<peer::peer_transport> m_transport;
+    claim_holders m_holders;
     bool m_fetching_sheet = false;
 };
 
