Services: Commit claims through one process of each failure domain

With 370 processes that share 300 transactions/s, almost every group of claims holds one write. Now all processes of a failure domain send their claim writes to the member that a rendezvous hash picks from the working members; it commits them in its groups and answers with each result. No agreement is needed: a member that is picked by some peers only still commits what it gets.

A write that the committer may have received ends with its result or as table_uncertain, which the claim resolves by reading back its attempt; it is never committed a second time here. A write that was certainly not sent is committed here at once. A write now ends at the deadline of its call: it was unbounded in the queue before.

Ruled out: a second copy committed here after a timeout, because an unavailable table would then refuse as not_run without a release token while the first copy can still take effect; and picking the next member after a failure, because a suspected member leaves the working members within 8 s anyway.

--- a/Libraries/membership/include/siskinwharf/membership/polling.h
+++ b/Libraries/membership/include/siskinwharf/membership/polling.h
@@ -1,15 +1,19 @@
 #pragma once
 
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "siskinwharf/base/identifier.h"
 
 namespace siskinwharf::membership {
 
-/// The member that polls the load of an endpoint, by rendezvous hash: all processes with the same members
-/// agree without a message, and only the endpoints of a departed member move. Nothing if there are no
-/// members.
+/// The member that does a piece of work, by rendezvous hash: all processes with the same members agree
+/// without a message, and only the work of a departed member moves. Nothing if there are no members.
+[[nodiscard]] std::optional<instance_id> work_owner(std::string_view work,
+                                                    const std::vector<instance_id>& members);
+
+/// The member that polls the load of an endpoint.
 [[nodiscard]] std::optional<instance_id> polling_owner(const endpoint_id& endpoint,
                                                        const std::vector<instance_id>& members);
 
--- a/Services/siskinwharfd/src/claim_committer.cpp
+++ b/Services/siskinwharfd/src/claim_committer.cpp
@@ -34,23 +34,41 @@
 
 // The operations are named objects: g++ 12 destroys temporaries of a co_await expression twice in some cases.
 
-asio::awaitable<platform::commit_result> claim_committer::commit(platform::table_write write)
+asio::awaitable<platform::commit_result> claim_committer::commit(platform::table_write write,
+                                                                 monotonic_time limit)
 {
-    auto operation = commit_here(std::move(write));
+    auto operation = route(std::move(write), limit);
     co_return co_await asio::co_spawn(m_control, std::move(operation), asio::use_awaitable);
 }
 
-asio::awaitable<platform::commit_result> claim_committer::commit_here(platform::table_write write)
+asio::awaitable<platform::commit_result> claim_committer::route(platform::table_write write,
+                                                                monotonic_time limit)
+{
+    if (m_route != nullptr) {
+        auto routed = co_await m_route->commit(write, limit);
+        if (routed)
+            co_return std::move(*routed);
+    }
+    co_return co_await commit_here(std::move(write), limit);
+}
+
+asio::awaitable<platform::commit_result> claim_committer::commit_here(platform::table_write write,
+                                                                      monotonic_time limit)
 {
     const auto ticket = m_batcher.submit(std::move(write), now());
     if (!ticket)
         co_return platform::table_unavailable{};
-    const auto waiting = std::make_shared<waiting_write>(m_control);
+    const auto waiting = std::make_shared<waiting_write>(m_control, limit);
     m_waiting.emplace(*ticket, waiting);
     m_wake.cancel();
-    while (!waiting->result)
+    while (!waiting->result && now() < limit)
         co_await waiting->wake.async_wait(asio::as_tuple(asio::use_awaitable));
-    co_return *waiting->result;
+    if (waiting->result)
+        co_return *waiting->result;
+    m_waiting.erase(*ticket);
+    if (m_batcher.withdraw(*ticket))
+        co_return platform::table_unavailable{};
+    co_return platform::table_uncertain{};
 }
 
 asio::awaitable<platform::read_result> claim_committer::read(std::string key)
@@ -97,7 +115,7 @@
 asio::awaitable<void> claim_committer::write_final_row(claims::cleanup_write write)
 {
     const auto attempt = write.attempt;
-    const auto result = co_await commit_here(std::move(write.write));
+    const auto result = co_await commit_here(std::move(write.write), monotonic_time::max());
     m_cleanup.on_result(attempt, result, now());
 }
 
--- a/Services/siskinwharfd/src/claim_committer.h
+++ b/Services/siskinwharfd/src/claim_committer.h
@@ -17,16 +17,41 @@
 
 namespace siskinwharf::entry {
 
+/// Another way to the table than the groups of this process. Called on the control thread.
+class claim_route {
+public:
+    claim_route() = default;
+    claim_route(const claim_route&) = delete;
+    claim_route& operator=(const claim_route&) = delete;
+    claim_route(claim_route&&) = delete;
+    claim_route& operator=(claim_route&&) = delete;
+    virtual ~claim_route() = default;
+
+    /// Commits a write, or returns nothing if the write certainly was not and will not be sent that way. Ends
+    /// at the limit at the latest.
+    virtual boost::asio::awaitable<std::optional<platform::commit_result>> commit(platform::table_write write,
+                                                                                  monotonic_time limit) = 0;
+};
+
 /// Commits the writes of all claims of the process in groups, and answers for its own attempts. State is
 /// confined to the control thread; the awaitable functions may be called from any thread.
 class claim_committer {
 public:
     claim_committer(boost::asio::io_context& control, platform::table_store& table);
 
+    /// Tries another way first for each write of the process's own attempts. Must be called before the first
+    /// write; the route must outlive the last one.
+    void set_route(claim_route& route) { m_route = &route; }
+
     /// Starts to commit groups and to write open final rows in the background.
     void start();
 
-    boost::asio::awaitable<platform::commit_result> commit(platform::table_write write);
+    /// Commits a write, here or through the route. At the limit a write that was not sent to the table is
+    /// `table_unavailable`, and one that was sent is `table_uncertain`.
+    boost::asio::awaitable<platform::commit_result> commit(platform::table_write write, monotonic_time limit);
+    /// Commits a write in the groups of this process. Must be awaited on the control thread.
+    boost::asio::awaitable<platform::commit_result> commit_here(platform::table_write write,
+                                                                monotonic_time limit);
     boost::asio::awaitable<platform::read_result> read(std::string key);
     /// Notes that an attempt is running here.
     boost::asio::awaitable<void> begin(claims::attempt_number attempt);
@@ -38,16 +63,13 @@
 
 private:
     struct waiting_write {
-        explicit waiting_write(boost::asio::io_context& context)
-            : wake(context, boost::asio::steady_timer::time_point::max())
-        {
-        }
+        waiting_write(boost::asio::io_context& context, monotonic_time limit) : wake(context, limit) {}
 
         boost::asio::steady_timer wake;
         std::optional<platform::commit_result> result;
     };
 
-    boost::asio::awaitable<platform::commit_result> commit_here(platform::table_write write);
+    boost::asio::awaitable<platform::commit_result> route(platform::table_write write, monotonic_time limit);
     boost::asio::awaitable<void> begin_here(claims::attempt_number attempt);
     boost::asio::awaitable<void> end_here(claims::attempt_number attempt,
                                           std::optional<claims::claim_obligation> open);
@@ -59,6 +81,7 @@
 
     boost::asio::io_context& m_control;
     platform::table_store& m_table;
+    claim_route* m_route = nullptr;
     claims::claim_batcher m_batcher{claims::batch_limits{}};
     claims::claim_cleanup m_cleanup{claims::cleanup_limits{}};
     std::map<claims::write_ticket, std::shared_ptr<waiting_write>> m_waiting;
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -62,12 +62,15 @@
               platform::platform_access{{m_core.settings.platform.ip, m_core.settings.platform.port},
                                         m_core.settings.instance.value()}),
       m_committer(m_control, m_table),
+      m_claim_service(m_control, m_committer),
       m_platform(m_control, m_core, m_client, make_observer()),
       m_peers(std::make_shared<peer_node>(m_control, m_core, m_client, m_committer, make_peer_callbacks())),
+      m_claim_forwarder(m_control, make_forwarding_ports()),
       m_control_loop(
           m_control, m_core, m_table, m_client,
           [this](const std::map<endpoint_id, monotonic_time>& gone_at) { m_platform.announce(gone_at); })
 {
+    m_committer.set_route(m_claim_forwarder);
     const auto& settings = m_core.settings;
     std::optional<http::tls_files> tls;
     if (settings.tls)
@@ -142,6 +145,22 @@
     result.adopt = [this](peer::request_record record) {
         return adopt(std::move(record));
     };
+    result.commit_claims = [this](peer::claim_commit_request request) {
+        return m_claim_service.answer(std::move(request));
+    };
+    return result;
+}
+
+forwarding_ports entry_process::make_forwarding_ports()
+{
+    forwarding_ports result;
+    result.committer = [this] {
+        return m_peers->claim_committer_of_domain();
+    };
+    result.request = [this](claim_peer committer, peer::message body, milliseconds timeout) {
+        return m_peers->request_once(std::move(committer.member), std::move(committer.contact),
+                                     std::move(body), timeout);
+    };
     return result;
 }
 
@@ -198,6 +217,7 @@
 {
     if (m_core.stopping.exchange(true))
         co_return;
+    m_claim_service.stop_accepting();
     log_event(event::process_stopping, {{"time_ms", std::to_string(time.count())}});
     co_await drain(now() + time);
     co_await hand_over_requests();
@@ -279,7 +299,7 @@
 {
     asio::steady_timer timer(m_control);
     while (now() < give_up_at) {
-        if (co_await count_active() == 0)
+        if (co_await count_active() == 0 && m_claim_service.pending() == 0)
             co_return;
         timer.expires_after(drain_poll_period);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
--- a/Services/siskinwharfd/src/entry_process.h
+++ b/Services/siskinwharfd/src/entry_process.h
@@ -9,7 +9,9 @@
 
 #include "admin_api.h"
 #include "caller_api.h"
+#include "claim_commit_service.h"
 #include "claim_committer.h"
+#include "claim_forwarder.h"
 #include "control_loop.h"
 #include "entry_core.h"
 #include "peer_node.h"
@@ -36,6 +38,7 @@
 private:
     [[nodiscard]] platform_sync::observer make_observer();
     [[nodiscard]] peer_callbacks make_peer_callbacks();
+    [[nodiscard]] forwarding_ports make_forwarding_ports();
     boost::asio::awaitable<claims::holder_reply>
     ask_holder(std::string holder, claims::claim_identity identity, claims::attempt_number attempt);
     boost::asio::awaitable<peer::locate_state> locate_here(request_id id);
@@ -56,11 +59,13 @@
     http::client m_client;
     platform::http_table_store m_table;
     claim_committer m_committer;
+    claim_commit_service m_claim_service;
     std::vector<std::unique_ptr<worker>> m_workers;
     std::vector<std::unique_ptr<caller_api>> m_apis;
     std::vector<std::unique_ptr<http::server>> m_servers;
     platform_sync m_platform;
     std::shared_ptr<peer_node> m_peers;
+    claim_forwarder m_claim_forwarder;
     std::map<instance_id, http::address> m_entry_addresses;
     control_loop m_control_loop;
     admin_api m_admin_api{m_core, [this] {
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -21,6 +21,10 @@
 
 constexpr milliseconds request_timeout{1'000};
 constexpr milliseconds handover_timeout{2'000};
+/// Claim writes to the committer of the failure domain use up to three.
+constexpr std::size_t connections_per_peer = 4;
+/// The work whose owner commits the claims of the failure domain.
+constexpr std::string_view claim_work = "claims";
 constexpr milliseconds load_poll_period{500};
 constexpr milliseconds load_poll_timeout{1'000};
 
@@ -76,6 +80,7 @@
     options.listen = contact_of(m_core.settings.listen.peers);
     options.first_sequence = unix_milliseconds() * 1000;
     options.seed = m_random();
+    options.connections_per_peer = connections_per_peer;
     m_transport =
         std::make_unique<peer::peer_transport>(m_control.get_executor(), options, shared_from_this());
     asio::co_spawn(m_control, run_ticks(), asio::detached);
@@ -302,6 +307,10 @@
             state = peer::claim_state::voided;
         co_return peer::claim_status_reply{state, attempt};
     }
+    if (auto* claims = std::get_if<peer::claim_commit_request>(&request.body)) {
+        auto wanted = std::move(*claims);
+        co_return co_await m_callbacks.commit_claims(std::move(wanted));
+    }
     auto output = m_members.receive(now(), m_random, request.sender, {}, request.body);
     std::optional<peer::message> answer;
     for (auto& message : output.messages) {
@@ -349,6 +358,16 @@
     co_return false;
 }
 
+std::optional<claim_peer> peer_node::claim_committer_of_domain() const
+{
+    const auto owner = membership::work_owner(claim_work, m_members.working_members());
+    for (const auto& member : m_members.members()) {
+        if (owner && member.member == *owner && member.state == peer::member_state::alive)
+            return claim_peer{member.member, member.contact};
+    }
+    return std::nullopt;
+}
+
 asio::awaitable<peer::request_result> peer_node::request_once(instance_id member, peer::address contact,
                                                               peer::message body, milliseconds timeout)
 {
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "claim_committer.h"
+#include "claim_forwarder.h"
 #include "claim_holders.h"
 #include "entry_core.h"
 #include "siskinwharf/http/client.h"
@@ -28,6 +29,7 @@
     std::function<std::vector<peer::endpoint_notice>()> departed;
     std::function<boost::asio::awaitable<peer::locate_state>(request_id)> locate;
     std::function<boost::asio::awaitable<bool>(peer::request_record)> adopt;
+    std::function<boost::asio::awaitable<peer::claim_commit_reply>(peer::claim_commit_request)> commit_claims;
 };
 
 /// This process among the entry processes of its failure domain: membership, notices about endpoints, sheets
@@ -51,6 +53,9 @@
     boost::asio::awaitable<std::optional<instance_id>> locate(request_id request);
     /// Hands a request to one member after another until one accepts it.
     boost::asio::awaitable<bool> hand_over(peer::request_record record);
+    /// The member that commits the claims of the failure domain, by rendezvous hash; nothing if it is this
+    /// process or is suspected.
+    [[nodiscard]] std::optional<claim_peer> claim_committer_of_domain() const;
     /// Sends a request that the peer receives at most once.
     boost::asio::awaitable<peer::request_result> request_once(instance_id member, peer::address contact,
                                                               peer::message body, milliseconds timeout);
