Tests: Stop the committer of claims while calls run

A planned stop of the committer refuses further writes of its peers and finishes those it has taken.

--- a/Tests/system/test_claim_committer.py
+++ b/Tests/system/test_claim_committer.py
@@ -88,6 +88,12 @@
         self.run_calls(deployment, others, freeze)
         self.assert_was_hit(deployment, victim, others)
 
+    def test_stopped_committer(self):
+        """P6: guards against calls that fail because the committer stops as planned."""
+        deployment, victim, others = self.start()
+        self.run_calls(deployment, others, lambda: deployment.processes[victim].signal(signal.SIGTERM))
+        self.assertFalse(deployment.processes[victim].running())
+
     def test_holder_in_another_failure_domain(self):
         """Guards against a resend that cannot tell a running call from a lost one."""
         deployment = self.deploy(service_options=("--work-ms", 3000))
