--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -21,6 +21,10 @@
 
 constexpr milliseconds request_timeout{1'000};
 constexpr milliseconds handover_timeout{2'000};
+/// Claim writes to the committer of the failure domain use up to three.
+constexpr std::size_t connections_per_peer = 4;
+/// The work whose owner commits the claims of the failure domain.
+constexpr std::string_view claim_work = "claims";
 constexpr milliseconds load_poll_period{500};
 constexpr milliseconds load_poll_timeout{1'000};
 
@@ -61,7 +65,10 @@
       m_committer(committer),
       m_callbacks(std::move(callbacks)),
       m_members(membership::member_options{}, core.settings.instance, contact_of(core.settings.listen.peers),
-                unix_milliseconds())
+                unix_milliseconds()),
+      m_holders([this](instance_id holder, peer::address contact, peer::message body, milliseconds timeout) {
+          return request_once(std::move(holder), std::move(contact), std::move(body), timeout);
+      })
 {
 }
 
@@ -73,6 +80,7 @@
     options.listen = contact_of(m_core.settings.listen.peers);
     options.first_sequence = unix_milliseconds() * 1000;
     options.seed = m_random();
+    options.connections_per_peer = connections_per_peer;
     m_transport =
         std::make_unique<peer::peer_transport>(m_control.get_executor(), options, shared_from_this());
     asio::co_spawn(m_control, run_ticks(), asio::detached);
@@ -94,6 +102,7 @@
 
 void peer_node::apply_instances(const std::vector<platform::instance_record>& records)
 {
+    m_holders.update(records);
     std::vector<membership::listed_instance> listed;
     for (const auto& record : records) {
         const bool is_peer = std::holds_alternative<platform::serves_entry>(record.serves) &&
@@ -315,6 +324,10 @@
             state = peer::claim_state::voided;
         co_return peer::claim_status_reply{state, attempt};
     }
+    if (auto* claims = std::get_if<peer::claim_commit_request>(&request.body)) {
+        auto wanted = std::move(*claims);
+        co_return co_await m_callbacks.commit_claims(std::move(wanted));
+    }
     auto output = m_members.receive(now(), m_random, request.sender, {}, request.body);
     std::optional<peer::message> answer;
     for (auto& message : output.messages) {
@@ -362,28 +375,37 @@
     co_return false;
 }
 
+std::optional<claim_peer> peer_node::claim_committer_of_domain() const
+{
+    const auto owner = membership::work_owner(claim_work, m_members.working_members());
+    for (const auto& member : m_members.members()) {
+        if (owner && member.member == *owner && member.state == peer::member_state::alive)
+            return claim_peer{member.member, member.contact};
+    }
+    return std::nullopt;
+}
+
+asio::awaitable<peer::request_result> peer_node::request_once(instance_id member, peer::address contact,
+                                                              peer::message body, milliseconds timeout)
+{
+    if (!m_transport)
+        co_return peer::transport_error(peer::peer_unreachable{});
+    auto operation = m_transport->request(std::move(member), std::move(contact), std::move(body), timeout,
+                                          peer::delivery_count::at_most_once);
+    co_return co_await std::move(operation);
+}
+
 asio::awaitable<claims::holder_reply>
 peer_node::query_claim(std::string holder, claims::claim_identity identity, claims::attempt_number attempt)
 {
+    std::optional<peer::address> contact;
     for (const auto& member : m_members.members()) {
-        if (member.member.value() != holder)
-            continue;
-        peer::message body = peer::claim_status_request{identity.account, identity.key, attempt};
-        auto result =
-            co_await m_transport->request(member.member, member.contact, std::move(body), request_timeout);
-        const auto* answer = std::get_if<peer::message>(&result);
-        const auto* reply = answer != nullptr ? std::get_if<peer::claim_status_reply>(answer) : nullptr;
-        if (reply == nullptr)
-            co_return claims::holder_unknown{};
-        if (reply->state == peer::claim_state::running)
-            co_return claims::holder_running{};
-        if (reply->state == peer::claim_state::voided)
-            co_return claims::holder_abandoned{};
-        co_return claims::holder_unknown{};
+        if (member.member.value() == holder)
+            contact = member.contact;
     }
-    // FIXME: A holder in another failure domain is not asked; its claim ends as unknown until its row is
-    // final.
-    co_return claims::holder_unknown{};
+    auto operation =
+        m_holders.ask(instance_id(std::move(holder)), std::move(contact), std::move(identity), attempt);
+    co_return co_await std::move(operation);
 }
 
 } // namespace siskinwharf::entry
