Services: Number a crash by the endpoint's incarnation

Cause: the number of a crash was a hash of the endpoint id and the wall-clock minute. Two entry processes that found one death on both sides of a full minute gave it two numbers, so one death could quarantine an innocent request once the numbers are exchanged, and an endpoint that restarted and died again within a minute counted once. A process that heard of a death from a peer or a probe marked the endpoint as leaving first; its own requests that lost the endpoint later then escaped suspicion.

The number is now a hash of the id and the start time in the instance list, which routing::endpoint_info keeps as `incarnation`. The request passes the endpoint as it was when it began there, so a late finder does not blame the restarted endpoint. platform_sync notes a death before it marks the endpoint.

Ruled out: the incarnation of endpoint_directory, because a dead endpoint that answers a probe raises it at the process that probes, so processes would differ for a while. The price: an endpoint that was taken for dead, came back without a restart and then died counts once.

Tests: "all requests of a dead endpoint count the same crash" and "the end of a leaving endpoint is no crash" pass the endpoint instead of its name and no wall time; their checks are the same, and the second one also notes a death of the leaving endpoint.

--- a/Libraries/routing/include/siskinwharf/routing/endpoint_info.h
+++ b/Libraries/routing/include/siskinwharf/routing/endpoint_info.h
@@ -61,6 +61,9 @@
     std::uint32_t nominal_tokens_per_second = 0; ///< With all streams in use. 0 where unknown.
     price cost;
     endpoint_state state = endpoint_state::live;
+    /// Start time in the instance list, in milliseconds since the epoch. Tells an endpoint from an earlier
+    /// one of the same name.
+    std::uint64_t incarnation = 0;
 
     auto operator<=>(const endpoint_info&) const = default;
 };
--- a/Services/siskinwharfd/src/crash_log.cpp
+++ b/Services/siskinwharfd/src/crash_log.cpp
@@ -11,30 +11,50 @@
 
 /// A request finds out about the death within its header timeout and its resumes.
 constexpr milliseconds detection_time{10'000};
-/// Entry processes that see the same death within this time give it the same number; an endpoint that
-/// restarts under its old name and dies again in the same minute counts once.
-constexpr std::chrono::seconds number_period{60};
 
 } // namespace
 
-std::optional<admission::crash_number> crash_log::on_lost(const endpoint_id& endpoint,
+admission::crash_number crash_number_of(const routing::endpoint_info& endpoint)
+{
+    return hash64(endpoint.id.value() + "@" + std::to_string(endpoint.incarnation));
+}
+
+std::optional<admission::crash_number> crash_log::on_lost(const routing::endpoint_info& endpoint,
                                                           const routing::routing_table& table,
-                                                          monotonic_time now,
-                                                          std::chrono::system_clock::time_point wall_time)
+                                                          monotonic_time now)
 {
     const std::scoped_lock lock(m_mutex);
-    std::erase_if(m_recent, [now](const crash& entry) { return now - entry.time > detection_time; });
-    const auto found = std::ranges::find(m_recent, endpoint, &crash::endpoint);
-    if (found != m_recent.end())
-        return found->number;
+    const auto number = crash_number_of(endpoint);
     // Later requests find the endpoint leaving because of the first one's report, and this log.
-    const auto info = table.find_info(endpoint);
-    if (!info || info->state == routing::endpoint_state::leaving)
+    if (is_recent(number, now))
+        return number;
+    const auto info = table.find_info(endpoint.id);
+    if (!info)
+        return std::nullopt;
+    // A restarted endpoint is listed as live again, and its state says nothing about its predecessor.
+    const bool restarted = info->incarnation > endpoint.incarnation;
+    if (!restarted && info->state == routing::endpoint_state::leaving)
         return std::nullopt;
-    const auto period = wall_time.time_since_epoch() / number_period;
-    const auto number = hash64(endpoint.value() + "@" + std::to_string(period));
-    m_recent.push_back({endpoint, number, now});
+    m_recent.push_back({number, now});
     return number;
 }
 
+void crash_log::note_death(const endpoint_id& endpoint, const routing::routing_table& table,
+                           monotonic_time now)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto info = table.find_info(endpoint);
+    if (!info || info->state == routing::endpoint_state::leaving)
+        return;
+    const auto number = crash_number_of(*info);
+    if (!is_recent(number, now))
+        m_recent.push_back({number, now});
+}
+
+bool crash_log::is_recent(admission::crash_number number, monotonic_time now)
+{
+    std::erase_if(m_recent, [now](const crash& entry) { return now - entry.time > detection_time; });
+    return std::ranges::find(m_recent, number, &crash::number) != m_recent.end();
+}
+
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/entry_core.cpp
+++ b/Services/siskinwharfd/src/entry_core.cpp
@@ -13,10 +13,10 @@
 }
 
 admission::content_status entry_core::on_endpoint_lost(const admission::content_key& key,
-                                                       const endpoint_id& endpoint)
+                                                       const routing::endpoint_info& endpoint)
 {
     const auto time = now();
-    const auto crash = crashes.on_lost(endpoint, table, time, std::chrono::system_clock::now());
+    const auto crash = crashes.on_lost(endpoint, table, time);
     if (!crash)
         return quarantine.status(key, time);
     const auto status = quarantine.on_crash(key, *crash, time);
--- a/Services/siskinwharfd/src/entry_core.h
+++ b/Services/siskinwharfd/src/entry_core.h
@@ -77,10 +77,11 @@
     {
         return endpoints_known.load(std::memory_order_relaxed) && sheets.is_ready(time);
     }
-    /// A request has lost its endpoint: counts the crash if the endpoint was live, and publishes it. Must be
-    /// called before the death is reported. Returns the status of the request.
+    /// A request has lost its endpoint, given as it was when the request began there: counts the crash if the
+    /// endpoint was live, and publishes it. Must be called before the death is reported. Returns the status
+    /// of the request.
     admission::content_status on_endpoint_lost(const admission::content_key& key,
-                                               const endpoint_id& endpoint);
+                                               const routing::endpoint_info& endpoint);
     /// Takes in entries from other entry processes.
     void merge_quarantine(const std::vector<admission::quarantine_record>& records);
 };
--- a/Services/siskinwharfd/src/model_runner.cpp
+++ b/Services/siskinwharfd/src/model_runner.cpp
@@ -434,7 +434,7 @@
     if (end == attempt_end::refused_leaving && m_core.report_endpoint)
         m_core.report_endpoint(endpoint.id, endpoint_report::leaving);
     if (step.count_crash)
-        m_suspect.note_crash(endpoint.id);
+        m_suspect.note_crash(endpoint);
     if (end == attempt_end::endpoint_lost && m_core.report_endpoint)
         m_core.report_endpoint(endpoint.id, endpoint_report::dead);
     m_refused_full = end == attempt_end::refused_full;
--- a/Services/siskinwharfd/src/platform_sync.cpp
+++ b/Services/siskinwharfd/src/platform_sync.cpp
@@ -57,6 +57,7 @@
     info.capacity = record.capacity;
     info.cost = routing::price_per_hour{record.price_microcents_per_second * seconds_per_hour};
     info.state = record.leaving ? routing::endpoint_state::leaving : routing::endpoint_state::live;
+    info.incarnation = record.started_ms;
     return info;
 }
 
@@ -227,6 +228,8 @@
     for (const auto& [endpoint, state, source] : changes.events) {
         if (state == peer::endpoint_state::live)
             continue;
+        if (state == peer::endpoint_state::dead)
+            m_core.crashes.note_death(endpoint, m_core.table, now());
         m_core.table.mark_leaving({endpoint});
         const auto& kind =
             state == peer::endpoint_state::dead ? event::endpoint_dead : event::endpoint_leaving;
--- a/Services/siskinwharfd/src/suspect_run.cpp
+++ b/Services/siskinwharfd/src/suspect_run.cpp
@@ -47,7 +47,7 @@
     m_core.isolation.release(target, std::exchange(m_isolated_at, {}));
 }
 
-void suspect_run::note_crash(const endpoint_id& endpoint)
+void suspect_run::note_crash(const routing::endpoint_info& endpoint)
 {
     if (m_core.on_endpoint_lost(key(), endpoint) != admission::content_status::quarantined)
         return;
--- a/Services/siskinwharfd/src/suspect_run.h
+++ b/Services/siskinwharfd/src/suspect_run.h
@@ -22,7 +22,7 @@
     /// Gives up the reservation, if there is one. To be called after the slot was freed.
     void leave();
     /// Counts the death of an endpoint against the request.
-    void note_crash(const endpoint_id& endpoint);
+    void note_crash(const routing::endpoint_info& endpoint);
     /// The request ran to its end.
     void note_finished();
 
--- a/Services/siskinwharfd/tests/runner_fixture.h
+++ b/Services/siskinwharfd/tests/runner_fixture.h
@@ -23,7 +23,8 @@
 
 /// Runs requests against the endpoints that a test adds.
 struct runner_fixture {
-    void add_endpoint(const std::string& name, unsigned short port, std::uint32_t capacity)
+    void add_endpoint(const std::string& name, unsigned short port, std::uint32_t capacity,
+                      std::uint64_t incarnation = 0)
     {
         routing::endpoint_info info;
         info.id = endpoint_id(name);
@@ -33,6 +34,7 @@
         info.region = core.settings.region;
         info.serves = routing::model_target{model_id("chat"), "1"};
         info.capacity = capacity;
+        info.incarnation = incarnation;
         core.table.publish({{info}, {}, std::nullopt});
     }
 
--- a/Services/siskinwharfd/tests/suspect_test.cpp
+++ b/Services/siskinwharfd/tests/suspect_test.cpp
@@ -48,17 +48,55 @@
 {
     // Guards against requests that find out late, when the endpoint is already marked, and escape suspicion.
     runner_fixture test;
-    const endpoint_id endpoint("e1");
     test.add_endpoint("e1", 1, 4);
+    const auto endpoint = test.core.table.find_info(endpoint_id("e1"));
     const auto time = now();
-    const std::chrono::system_clock::time_point wall{std::chrono::hours(1)};
-    const auto first = test.core.crashes.on_lost(endpoint, test.core.table, time, wall);
-    test.core.table.mark_leaving({endpoint});
-    const auto second =
-        test.core.crashes.on_lost(endpoint, test.core.table, time + seconds(2), wall + seconds(70));
+    const auto first = test.core.crashes.on_lost(*endpoint, test.core.table, time);
+    test.core.table.mark_leaving({endpoint->id});
+    const auto second = test.core.crashes.on_lost(*endpoint, test.core.table, time + seconds(2));
     REQUIRE(first);
     CHECK(first == second);
-    CHECK_FALSE(test.core.crashes.on_lost(endpoint, test.core.table, time + seconds(20), wall));
+    CHECK_FALSE(test.core.crashes.on_lost(*endpoint, test.core.table, time + seconds(20)));
+}
+
+TEST_CASE("two entry processes give one death the same number", "[crash]")
+{
+    // Guards against one death that counts as two, and against a death that only its finder counts: a request
+    // whose process hears of the death from a peer would escape suspicion.
+    runner_fixture one;
+    runner_fixture two;
+    for (auto* test : {&one, &two})
+        test->add_endpoint("e1", 1, 4, 1'000);
+    const auto endpoint = one.core.table.find_info(endpoint_id("e1"));
+    const auto time = now();
+    const auto found = one.core.crashes.on_lost(*endpoint, one.core.table, time);
+    two.core.crashes.note_death(endpoint->id, two.core.table, time);
+    two.core.table.mark_leaving({endpoint->id});
+    const auto heard = two.core.crashes.on_lost(*endpoint, two.core.table, time + seconds(2));
+    REQUIRE(found);
+    CHECK(found == heard);
+}
+
+TEST_CASE("a restart under the same name counts as a new crash", "[crash]")
+{
+    // Guards against a request that crashes one endpoint again and again because all deaths have one number,
+    // and against a late finder that blames the restarted endpoint or nothing.
+    runner_fixture test;
+    test.add_endpoint("e1", 1, 4, 1'000);
+    const auto before = test.core.table.find_info(endpoint_id("e1"));
+    const auto time = now();
+    const auto first = test.core.crashes.on_lost(*before, test.core.table, time);
+    test.add_endpoint("e1", 1, 4, 2'000);
+    const auto after = test.core.table.find_info(endpoint_id("e1"));
+    const auto late = test.core.crashes.on_lost(*before, test.core.table, time + seconds(1));
+    const auto second = test.core.crashes.on_lost(*after, test.core.table, time + seconds(1));
+    REQUIRE(first);
+    REQUIRE(second);
+    CHECK(first == late);
+    CHECK(first != second);
+    runner_fixture slow;
+    slow.add_endpoint("e1", 1, 4, 2'000);
+    CHECK(slow.core.crashes.on_lost(*before, slow.core.table, time) == first);
 }
 
 TEST_CASE("the end of a leaving endpoint is no crash", "[crash]")
@@ -68,8 +106,13 @@
     test.add_endpoint("e1", 1, 4);
     test.core.table.mark_leaving({endpoint_id("e1")});
     const auto key = key_of("a");
-    CHECK(test.core.on_endpoint_lost(key, endpoint_id("e1")) == admission::content_status::healthy);
-    CHECK(test.core.on_endpoint_lost(key, endpoint_id("unknown")) == admission::content_status::healthy);
+    const auto leaving = test.core.table.find_info(endpoint_id("e1"));
+    // A leaving endpoint that then dies is no crash either.
+    test.core.crashes.note_death(endpoint_id("e1"), test.core.table, now());
+    CHECK(test.core.on_endpoint_lost(key, *leaving) == admission::content_status::healthy);
+    routing::endpoint_info unknown;
+    unknown.id = endpoint_id("unknown");
+    CHECK(test.core.on_endpoint_lost(key, unknown) == admission::content_status::healthy);
     CHECK(test.core.quarantine.is_empty());
 }
 
