Services: Exchange the quarantine in the failure domain

Cause: each entry process counted crashes by itself, so a request that had crashed two engines could crash two more through each other entry process, and a restarted process knew nothing. quarantine_update carried a count, which cannot be merged: one death that two processes report would count twice.

Before a request is refused as quarantined, the peers confirm its entry (500 ms at most). A suspect that ran to its end is cleared at the peers too; without that, an innocent neighbour resent elsewhere would be one chance crash from quarantine. No message type is added: an update without entries, sent as a request, asks for the recipient's.

Ruled out: datagrams alone before the refusal, since nothing orders them before a resend through a peer (by reasoning, not seen in a run). A peer that its peers do not know yet remains a gap. Also ruled out: passing records on as gossip. Only the finder sends, since each record must reach each peer once anyway.

--- a/Libraries/admission/include/siskinwharf/admission/quarantine.h
+++ b/Libraries/admission/include/siskinwharf/admission/quarantine.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -40,7 +41,7 @@
 struct quarantine_record {
     content_key key;
     std::set<crash_number> crashes; ///< At most `crashes_to_quarantine`.
-    milliseconds remaining{0};      ///< Until the entry expires.
+    milliseconds remaining{0};      ///< Until the entry expires. Zero clears a suspect of these crashes.
 
     auto operator<=>(const quarantine_record&) const = default;
 };
@@ -67,10 +68,12 @@
 
     /// Records that an endpoint died without notice while it ran this request. Returns the new status.
     content_status on_crash(const content_key& key, crash_number crash, monotonic_time now);
-    /// Clears a suspect that ran to its end in isolation. Has no effect on a quarantined request.
-    void on_finished(const content_key& key, monotonic_time now);
+    /// Clears a suspect that ran to its end in isolation. Has no effect on a quarantined request. Returns the
+    /// record that clears it at the peers, or nothing if it was no suspect.
+    std::optional<quarantine_record> on_finished(const content_key& key, monotonic_time now);
     /// Merges a peer's records. Malformed ones are ignored. A record without a new crash does not prolong an
-    /// entry, since records that go back and forth would otherwise keep it for ever.
+    /// entry, since records that go back and forth would otherwise keep it for ever. A record that clears has
+    /// no effect on an entry with another crash.
     void merge(const std::vector<quarantine_record>& records, monotonic_time now);
     /// Returns at most `maximum` records for peers, those that expire last first.
     [[nodiscard]] std::vector<quarantine_record> records(monotonic_time now, std::size_t maximum) const;
@@ -87,6 +90,8 @@
 
     const entry& add(const content_key& key, const std::set<crash_number>& crashes, monotonic_time expires,
                      monotonic_time now);
+    void clear(const quarantine_record& record, monotonic_time now);
+    entries::iterator insert(const content_key& key, entry value, monotonic_time now);
     void make_room(monotonic_time now);
     void erase(entries::iterator position);
     [[nodiscard]] static content_status status_of(const entry& value, monotonic_time now);
--- a/Libraries/admission/src/quarantine.cpp
+++ b/Libraries/admission/src/quarantine.cpp
@@ -22,7 +22,7 @@
 {
     return record.key.digest.size() == digest_length && !record.key.account.empty() &&
            record.key.account.value().size() <= maximum_account_length && !record.crashes.empty() &&
-           record.crashes.size() <= crashes_to_quarantine && record.remaining > milliseconds{0};
+           record.crashes.size() <= crashes_to_quarantine && record.remaining >= milliseconds{0};
 }
 
 } // namespace
@@ -44,19 +44,25 @@
     return status_of(add(key, {crash}, now + m_limits.lifetime, now), now);
 }
 
-void quarantine::on_finished(const content_key& key, monotonic_time now)
+std::optional<quarantine_record> quarantine::on_finished(const content_key& key, monotonic_time now)
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_entries.find(key);
-    if (found != m_entries.end() && status_of(found->second, now) == content_status::suspect)
-        found->second.expires = now;
+    if (found == m_entries.end() || status_of(found->second, now) != content_status::suspect)
+        return std::nullopt;
+    found->second.expires = now;
+    return quarantine_record{key, found->second.crashes, milliseconds{0}};
 }
 
 void quarantine::merge(const std::vector<quarantine_record>& records, monotonic_time now)
 {
     const std::lock_guard lock(m_mutex);
     for (const auto& record : records) {
-        if (is_well_formed(record))
+        if (!is_well_formed(record))
+            continue;
+        if (record.remaining == milliseconds{0})
+            clear(record, now);
+        else
             (void)add(record.key, record.crashes, now + std::min(record.remaining, m_limits.lifetime), now);
     }
 }
@@ -93,12 +99,8 @@
                                          monotonic_time expires, monotonic_time now)
 {
     auto found = m_entries.find(key);
-    if (found == m_entries.end()) {
-        make_room(now);
-        found = m_entries.emplace(key, entry{{}, expires}).first;
-        m_filter[filter_index(key)].fetch_add(1, std::memory_order_release);
-        m_size.fetch_add(1, std::memory_order_release);
-    }
+    if (found == m_entries.end())
+        found = insert(key, entry{{}, expires}, now);
     entry& value = found->second;
     std::set<crash_number> fresh;
     std::set_difference(crashes.begin(), crashes.end(), value.crashes.begin(), value.crashes.end(),
@@ -115,6 +117,27 @@
     return value;
 }
 
+void quarantine::clear(const quarantine_record& record, monotonic_time now)
+{
+    const auto found = m_entries.find(record.key);
+    // The crashes of an unknown entry are remembered, because an older record may still be under way.
+    if (found == m_entries.end())
+        insert(record.key, entry{record.crashes, now}, now);
+    else if (status_of(found->second, now) == content_status::suspect &&
+             std::includes(record.crashes.begin(), record.crashes.end(), found->second.crashes.begin(),
+                           found->second.crashes.end()))
+        found->second.expires = now;
+}
+
+quarantine::entries::iterator quarantine::insert(const content_key& key, entry value, monotonic_time now)
+{
+    make_room(now);
+    const auto position = m_entries.emplace(key, std::move(value)).first;
+    m_filter[filter_index(key)].fetch_add(1, std::memory_order_release);
+    m_size.fetch_add(1, std::memory_order_release);
+    return position;
+}
+
 void quarantine::make_room(monotonic_time now)
 {
     if (m_entries.size() < m_limits.maximum_entries || m_entries.empty())
--- a/Libraries/admission/tests/admission_test.cpp
+++ b/Libraries/admission/tests/admission_test.cpp
@@ -204,6 +204,37 @@
     CHECK(small.records(start, 1).size() == 1);
 }
 
+TEST_CASE("a suspect that is cleared at one process is cleared at its peers")
+{
+    // Guards against an innocent request that a later chance crash quarantines at a peer, and against a clear
+    // that undoes the evidence of another crash.
+    quarantine one({});
+    quarantine two({});
+    const auto innocent = key_of("innocent");
+    (void)one.on_crash(innocent, 1, start);
+    two.merge(one.records(start, 10), start);
+    CHECK(two.status(innocent, start) == content_status::suspect);
+    const auto cleared = one.on_finished(innocent, start);
+    REQUIRE(cleared);
+    CHECK_FALSE(one.on_finished(innocent, start));
+    two.merge({*cleared}, start);
+    CHECK(two.status(innocent, start) == content_status::healthy);
+    CHECK(two.on_crash(innocent, 2, start) == content_status::suspect);
+
+    quarantine late({});
+    late.merge({*cleared}, start);
+    late.merge({{innocent, {1}, seconds{60}}}, start + seconds{1});
+    CHECK(late.status(innocent, start + seconds{1}) == content_status::healthy);
+
+    quarantine other({});
+    (void)other.on_crash(innocent, 2, start);
+    other.merge({*cleared}, start);
+    CHECK(other.status(innocent, start) == content_status::suspect);
+    CHECK(other.on_crash(innocent, 1, start) == content_status::quarantined);
+    other.merge({*cleared, {innocent, {1, 2}, milliseconds{0}}}, start);
+    CHECK(other.status(innocent, start) == content_status::quarantined);
+}
+
 TEST_CASE("checks on the request path run while entries come and go, for the thread sanitizer")
 {
     quarantine list({});
--- a/Libraries/base/include/siskinwharf/base/event.h
+++ b/Libraries/base/include/siskinwharf/base/event.h
@@ -48,6 +48,8 @@
                                                 "A request crashed endpoints and is refused from now on."};
 inline constexpr event_kind claim_uncertain{207, event_level::warning, "claim_uncertain",
                                             "The table did not say whether a claim took effect."};
+inline constexpr event_kind quarantine_learned{208, event_level::warning, "quarantine_learned",
+                                               "A peer reported crashes of a request, which is refused now."};
 
 inline constexpr event_kind sheet_in_force{300, event_level::info, "sheet_in_force",
                                            "A newer sheet is in force at this process."};
@@ -88,17 +90,13 @@
 
 /// All events, in the order of their numbers.
 inline constexpr std::array all{
-    process_started,     process_ready,        process_stopping,
-    process_stopped,     settings_rejected,    listen_failed,
-    request_accepted,    request_finished,     request_refused,
-    attempt_failed,      request_moved,        request_handed_over,
-    request_quarantined, claim_uncertain,      sheet_in_force,
-    sheet_rejected,      sheet_conflict,       endpoint_added,
-    endpoint_leaving,    endpoint_dead,        peer_suspected,
-    peer_dead,           peer_alive,           peer_message_rejected,
-    peer_leaving,        platform_unavailable, platform_available,
-    lease_acquired,      lease_lost,           order_sent,
-    order_refused,
+    process_started, process_ready,        process_stopping,    process_stopped, settings_rejected,
+    listen_failed,   request_accepted,     request_finished,    request_refused, attempt_failed,
+    request_moved,   request_handed_over,  request_quarantined, claim_uncertain, quarantine_learned,
+    sheet_in_force,  sheet_rejected,       sheet_conflict,      endpoint_added,  endpoint_leaving,
+    endpoint_dead,   peer_suspected,       peer_dead,           peer_alive,      peer_message_rejected,
+    peer_leaving,    platform_unavailable, platform_available,  lease_acquired,  lease_lost,
+    order_sent,      order_refused,
 };
 
 } // namespace event
--- a/Libraries/peer/include/siskinwharf/peer/messages.h
+++ b/Libraries/peer/include/siskinwharf/peer/messages.h
@@ -252,16 +252,19 @@
     auto operator<=>(const claim_status_reply&) const = default;
 };
 
-/// How many endpoints a request has crashed, by account and content digest.
+/// Which crashes of endpoints a request is suspected of, by account and content digest.
 struct quarantine_entry {
     account_id account;
-    std::string content_digest; ///< SHA-256 as 32 raw bytes.
-    std::uint32_t crashes = 0;
+    std::string content_digest;         ///< SHA-256 as 32 raw bytes.
+    std::vector<std::uint64_t> crashes; ///< Numbers that are the same at all entry processes.
+    /// Until the entry expires: a duration, because peers share no monotonic clock. Zero clears a suspect.
+    milliseconds remaining{0};
 
     auto operator<=>(const quarantine_entry&) const = default;
 };
 
-/// Crash counts that the recipient merges by taking the higher count.
+/// Entries that the recipient merges with its own. As a request over TCP without entries it asks for those of
+/// the recipient; as a request with entries it asks for an empty update that confirms them.
 struct quarantine_update {
     std::vector<quarantine_entry> entries;
 
--- a/Libraries/peer/peer.thrift
+++ b/Libraries/peer/peer.thrift
@@ -145,10 +145,12 @@
   2: i64 attempt
 }
 
+// Field 3 was a count of crashes, which no process has ever sent.
 struct quarantine_entry {
   1: string account
   2: binary digest
-  3: i32 crashes
+  4: list<i64> crash_numbers
+  5: i64 remaining_ms
 }
 
 struct quarantine_update {
--- a/Libraries/peer/src/conversion.cpp
+++ b/Libraries/peer/src/conversion.cpp
@@ -134,13 +134,18 @@
     wire::quarantine_entry result;
     result.account = value.account.value();
     result.digest = value.content_digest;
-    result.crashes = to_signed(value.crashes);
+    for (const auto crash : value.crashes)
+        result.crash_numbers.push_back(to_signed(crash));
+    result.remaining_ms = value.remaining.count();
     return result;
 }
 
 quarantine_entry from_wire(const wire::quarantine_entry& value)
 {
-    return {account_id(value.account), value.digest, to_unsigned(value.crashes)};
+    quarantine_entry result{account_id(value.account), value.digest, {}, to_duration(value.remaining_ms)};
+    for (const auto crash : value.crash_numbers)
+        result.crashes.push_back(to_unsigned(crash));
+    return result;
 }
 
 // Declared here because summaries are elements of lists and contain one themselves.
--- a/Services/siskinwharfd/src/entry_core.cpp
+++ b/Services/siskinwharfd/src/entry_core.cpp
@@ -1,5 +1,8 @@
 #include "entry_core.h"
 
+#include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 #include "live_request.h"
@@ -31,9 +34,29 @@
     return status;
 }
 
-void entry_core::merge_quarantine(const std::vector<admission::quarantine_record>& records)
+void entry_core::on_request_finished(const admission::content_key& key)
 {
-    quarantine.merge(records, now());
+    auto cleared = quarantine.on_finished(key, now());
+    if (cleared && publish_quarantine)
+        publish_quarantine({std::move(*cleared)});
+}
+
+std::vector<admission::content_key>
+entry_core::merge_quarantine(const std::vector<admission::quarantine_record>& records)
+{
+    const auto time = now();
+    const auto is_quarantined = [&](const admission::content_key& key) {
+        return quarantine.status(key, time) == admission::content_status::quarantined;
+    };
+    std::set<admission::content_key> candidates;
+    for (const auto& record : records) {
+        if (!is_quarantined(record.key))
+            candidates.insert(record.key);
+    }
+    quarantine.merge(records, time);
+    std::vector<admission::content_key> result;
+    std::ranges::copy_if(candidates, std::back_inserter(result), is_quarantined);
+    return result;
 }
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/entry_core.h
+++ b/Services/siskinwharfd/src/entry_core.h
@@ -58,11 +58,16 @@
     std::atomic<bool> stopping{false};
     /// The instance list was read at least once.
     std::atomic<bool> endpoints_known{false};
+    /// The entries of the quarantine have been fetched from a peer, or no peer has answered in time.
+    std::atomic<bool> quarantine_known{true};
     /// Reports what a request found out about an endpoint to the control thread.
     std::function<void(const endpoint_id&, endpoint_report)> report_endpoint;
     /// Sends new entries of the quarantine to the other entry processes of the failure domain. Called on the
     /// threads of the workers.
     std::function<void(std::vector<admission::quarantine_record>)> publish_quarantine;
+    /// Ends once the other entry processes of the failure domain have confirmed that they know the quarantine
+    /// of a request, or after a short limit. May be awaited from any thread.
+    std::function<boost::asio::awaitable<void>(admission::content_key)> confirm_quarantine;
     /// Live entry processes of the own failure domain, this one included.
     std::atomic<std::uint32_t> entries_in_domain{1};
     /// Finds the caller address of the peer that holds a request, named `<account>:<request id>`. May be
@@ -71,19 +76,24 @@
     /// Numbers attempts and requests of this process.
     std::atomic<std::uint64_t> next_number{1};
 
-    /// Whether requests may be accepted: a sheet is in force and the endpoints are known. A process that
-    /// knows no endpoint yet would refuse every request.
+    /// Whether requests may be accepted: a sheet is in force, the endpoints are known, and so are the
+    /// quarantined requests of the failure domain. A process that knows no endpoint yet would refuse every
+    /// request.
     [[nodiscard]] bool is_ready(monotonic_time time) const
     {
-        return endpoints_known.load(std::memory_order_relaxed) && sheets.is_ready(time);
+        return endpoints_known.load(std::memory_order_relaxed) &&
+               quarantine_known.load(std::memory_order_relaxed) && sheets.is_ready(time);
     }
     /// A request has lost its endpoint, given as it was when the request began there: counts the crash if the
     /// endpoint was live, and publishes it. Must be called before the death is reported. Returns the status
     /// of the request.
     admission::content_status on_endpoint_lost(const admission::content_key& key,
                                                const routing::endpoint_info& endpoint);
-    /// Takes in entries from other entry processes.
-    void merge_quarantine(const std::vector<admission::quarantine_record>& records);
+    /// A request ran to its end: clears it here and at the peers if it was a suspect.
+    void on_request_finished(const admission::content_key& key);
+    /// Takes in entries from other entry processes. Returns the requests that are quarantined by them.
+    std::vector<admission::content_key>
+    merge_quarantine(const std::vector<admission::quarantine_record>& records);
 };
 
 [[nodiscard]] inline monotonic_time now()
--- a/Services/siskinwharfd/src/model_runner.cpp
+++ b/Services/siskinwharfd/src/model_runner.cpp
@@ -188,6 +188,7 @@
 
 asio::awaitable<routing::chosen_endpoint> model_runner::acquire()
 {
+    co_await m_suspect.confirm_quarantine();
     while (true) {
         if (m_suspect.must_isolate(m_history.accepted)) {
             auto routing = make_routing_request();
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -61,7 +61,8 @@
       m_committer(committer),
       m_callbacks(std::move(callbacks)),
       m_members(membership::member_options{}, core.settings.instance, contact_of(core.settings.listen.peers),
-                unix_milliseconds())
+                unix_milliseconds()),
+      m_quarantine(control, core, make_quarantine_ports())
 {
 }
 
@@ -77,6 +78,7 @@
         std::make_unique<peer::peer_transport>(m_control.get_executor(), options, shared_from_this());
     asio::co_spawn(m_control, run_ticks(), asio::detached);
     asio::co_spawn(m_control, run_load_polls(), asio::detached);
+    m_quarantine.start();
 }
 
 void peer_node::stop()
@@ -101,6 +103,9 @@
         if (is_peer)
             listed.push_back({record.id, {record.address, record.peer_port}, record.leaving});
     }
+    m_quarantine.set_listed_peers(std::ranges::count_if(listed, [this](const auto& each) {
+        return each.instance != m_core.settings.instance && !each.leaving;
+    }));
     carry_out(m_members.apply_instance_list(now(), listed));
 }
 
@@ -261,12 +266,35 @@
     return result;
 }
 
+quarantine_ports peer_node::make_quarantine_ports()
+{
+    quarantine_ports result;
+    result.peers = [this] {
+        return working_peers();
+    };
+    result.send = [this](const membership::member_info& member, const peer::message& body) {
+        m_transport->send(member.member, member.contact, body);
+    };
+    result.request = [this](membership::member_info member,
+                            peer::message body) -> asio::awaitable<std::optional<peer::message>> {
+        auto answer =
+            co_await m_transport->request(member.member, member.contact, std::move(body), request_timeout);
+        auto* reply = std::get_if<peer::message>(&answer);
+        co_return reply != nullptr ? std::optional(std::move(*reply)) : std::nullopt;
+    };
+    return result;
+}
+
 void peer_node::receive(peer::frame datagram, peer::address from)
 {
     if (const auto* loads = std::get_if<peer::load_report>(&datagram.body)) {
         apply_loads(*loads);
         return;
     }
+    if (const auto* update = std::get_if<peer::quarantine_update>(&datagram.body)) {
+        m_quarantine.receive(datagram.sender, *update);
+        return;
+    }
     carry_out(m_members.receive(now(), m_random, datagram.sender, from, datagram.body));
 }
 
@@ -298,6 +326,8 @@
             state = peer::claim_state::voided;
         co_return peer::claim_status_reply{state, attempt};
     }
+    if (const auto* update = std::get_if<peer::quarantine_update>(&request.body))
+        co_return m_quarantine.reply(request.sender, *update);
     auto output = m_members.receive(now(), m_random, request.sender, {}, request.body);
     std::optional<peer::message> answer;
     for (auto& message : output.messages) {
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -13,6 +13,7 @@
 
 #include "claim_committer.h"
 #include "entry_core.h"
+#include "quarantine_exchange.h"
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/membership/member_table.h"
 #include "siskinwharf/peer/peer_transport.h"
@@ -68,6 +69,7 @@
     void carry_out(membership::member_output output);
     void apply_loads(const peer::load_report& report);
     void apply_load(const endpoint_id& endpoint, const peer::load_digest& load);
+    [[nodiscard]] quarantine_ports make_quarantine_ports();
     [[nodiscard]] std::vector<membership::member_info> working_peers() const;
     [[nodiscard]] std::vector<endpoint_id> own_endpoints() const;
 
@@ -79,6 +81,7 @@
     std::mt19937_64 m_random{std::random_device{}()};
     membership::member_table m_members;
     std::unique_ptr<peer::peer_transport> m_transport;
+    quarantine_exchange m_quarantine;
     bool m_fetching_sheet = false;
 };
 
--- a/Services/siskinwharfd/src/suspect_run.cpp
+++ b/Services/siskinwharfd/src/suspect_run.cpp
@@ -57,10 +57,18 @@
                                            {"digest", key().digest}});
 }
 
+asio::awaitable<void> suspect_run::confirm_quarantine()
+{
+    if (!m_quarantined || !m_core.confirm_quarantine)
+        co_return;
+    auto own = key();
+    co_await m_core.confirm_quarantine(std::move(own));
+}
+
 void suspect_run::note_finished()
 {
     if (!m_core.quarantine.is_empty())
-        m_core.quarantine.on_finished(key(), now());
+        m_core.on_request_finished(key());
 }
 
 const admission::content_key& suspect_run::key()
--- a/Services/siskinwharfd/src/suspect_run.h
+++ b/Services/siskinwharfd/src/suspect_run.h
@@ -23,6 +23,9 @@
     void leave();
     /// Counts the death of an endpoint against the request.
     void note_crash(const routing::endpoint_info& endpoint);
+    /// To be awaited before the request is refused as quarantined: its sender may resend it at once through
+    /// another entry process, which must know the quarantine by then.
+    boost::asio::awaitable<void> confirm_quarantine();
     /// The request ran to its end.
     void note_finished();
 
@@ -33,7 +36,7 @@
     const live_request& m_request;
     std::optional<admission::content_key> m_key; ///< Made when first needed.
     endpoint_id m_isolated_at;                   ///< Empty unless the request runs isolated.
-    bool m_quarantined = false;
+    bool m_quarantined = false;                  ///< By a crash that this run has seen.
 };
 
 } // namespace siskinwharf::entry
