Services: Isolate suspects in the whole failure domain

Cause: each entry process reserved endpoints for suspects by itself.

Before a suspect starts, isolation_exchange asks the peers with isolation_request to hold the endpoint. A hold counts as a running suspect in the local plan, so the limit of 25% of the endpoints now holds for the failure domain. It is given back at the end, or expires after 60 s. A suspect that waited is refused if it was quarantined meanwhile.

The field `request` of isolation_request now names account and content digest instead of one request: copies of a suspect have different request ids. The IDL is the same.

Also ruled out: giving the holds back at the first refusal, because a release that overtakes a question on another connection would leave its hold behind for 60 s.

No existing test was changed.

--- a/Libraries/peer/include/siskinwharf/peer/messages.h
+++ b/Libraries/peer/include/siskinwharf/peer/messages.h
@@ -275,7 +275,7 @@
 /// zero ends the isolation.
 struct isolation_request {
     endpoint_id endpoint;
-    request_id request;
+    request_id request; ///< `<account>:<content digest>`: the same for all copies of the suspect.
     milliseconds hold{0};
 
     auto operator<=>(const isolation_request&) const = default;
--- a/Services/siskinwharfd/src/model_runner.cpp
+++ b/Services/siskinwharfd/src/model_runner.cpp
@@ -194,6 +194,8 @@
             auto routing = make_routing_request();
             if (auto isolated = co_await m_suspect.acquire(std::move(routing)))
                 co_return std::move(*isolated);
+            // A copy at another entry process may have crashed another endpoint meanwhile.
+            (void)m_suspect.must_isolate(m_history.accepted);
         }
         if (auto planned = take_planned_target())
             co_return std::move(*planned);
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -62,7 +62,8 @@
       m_callbacks(std::move(callbacks)),
       m_members(membership::member_options{}, core.settings.instance, contact_of(core.settings.listen.peers),
                 unix_milliseconds()),
-      m_quarantine(control, core, make_quarantine_ports())
+      m_quarantine(control, core, make_quarantine_ports()),
+      m_isolation(control, core, make_quarantine_ports())
 {
 }
 
@@ -79,6 +80,7 @@
     asio::co_spawn(m_control, run_ticks(), asio::detached);
     asio::co_spawn(m_control, run_load_polls(), asio::detached);
     m_quarantine.start();
+    m_isolation.start();
 }
 
 void peer_node::stop()
@@ -328,6 +330,8 @@
     }
     if (const auto* update = std::get_if<peer::quarantine_update>(&request.body))
         co_return m_quarantine.reply(request.sender, *update);
+    if (const auto* wanted = std::get_if<peer::isolation_request>(&request.body))
+        co_return m_isolation.reply(request.sender, *wanted);
     auto output = m_members.receive(now(), m_random, request.sender, {}, request.body);
     std::optional<peer::message> answer;
     for (auto& message : output.messages) {
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -13,6 +13,7 @@
 
 #include "claim_committer.h"
 #include "entry_core.h"
+#include "isolation_exchange.h"
 #include "quarantine_exchange.h"
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/membership/member_table.h"
@@ -82,6 +83,7 @@
     membership::member_table m_members;
     std::unique_ptr<peer::peer_transport> m_transport;
     quarantine_exchange m_quarantine;
+    isolation_exchange m_isolation;
     bool m_fetching_sheet = false;
 };
 
--- a/Services/siskinwharfd/src/suspect_isolation.cpp
+++ b/Services/siskinwharfd/src/suspect_isolation.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "siskinwharf/base/hash.h"
+
 namespace siskinwharf::entry {
 
 namespace asio = boost::asio;
@@ -18,6 +20,14 @@
 constexpr milliseconds poll_period{20};
 /// With fewer endpoints a reservation would stop all healthy requests of the target.
 constexpr std::size_t minimum_endpoints = 2;
+/// Pause after a refusal by a peer. Differs between suspects, so that two that meet do not meet again.
+constexpr milliseconds refused_pause{20};
+constexpr std::size_t refused_pause_spread = 100;
+
+milliseconds pause_of(const admission::content_key& key)
+{
+    return refused_pause + milliseconds(hash64(key.digest) % refused_pause_spread);
+}
 
 monotonic_time now()
 {
@@ -54,6 +64,35 @@
     place m_place;
 };
 
+/// Holds an endpoint for a suspect until the peers have agreed, also until its coroutine is destroyed.
+class suspect_isolation::claim {
+public:
+    claim(suspect_isolation& owner, routing::target target, routing::chosen_endpoint chosen)
+        : m_owner(owner), m_target(std::move(target)), m_chosen(std::move(chosen))
+    {
+    }
+    claim(const claim&) = delete;
+    claim& operator=(const claim&) = delete;
+    claim(claim&&) = delete;
+    claim& operator=(claim&&) = delete;
+    ~claim()
+    {
+        if (!m_chosen)
+            return;
+        const auto endpoint = m_chosen->endpoint->id;
+        m_chosen.reset();
+        m_owner.release(m_target, endpoint);
+    }
+
+    [[nodiscard]] const endpoint_id& endpoint() const { return m_chosen->endpoint->id; }
+    [[nodiscard]] routing::chosen_endpoint take() { return *std::exchange(m_chosen, std::nullopt); }
+
+private:
+    suspect_isolation& m_owner;
+    routing::target m_target;
+    std::optional<routing::chosen_endpoint> m_chosen;
+};
+
 asio::awaitable<std::optional<routing::chosen_endpoint>>
 suspect_isolation::acquire(admission::content_key key, routing::routing_request request,
                            monotonic_time give_up_at)
@@ -62,11 +101,16 @@
     const ticket waiting(*this, request.serves, key);
     while (true) {
         bool possible = false;
-        if (auto started = try_start(key, request, possible))
-            co_return started;
+        auto pause = poll_period;
+        if (auto started = try_start(key, request, possible)) {
+            claim held(*this, request.serves, std::move(*started));
+            if (!m_peers.claim || co_await m_peers.claim(held.endpoint(), key, give_up_at))
+                co_return held.take();
+            pause = pause_of(key);
+        }
         if (!possible || now() >= give_up_at)
             co_return std::nullopt;
-        timer.expires_at(std::min(now() + poll_period, give_up_at));
+        timer.expires_at(std::min(now() + pause, give_up_at));
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
 }
@@ -76,6 +120,7 @@
                                                                      bool& possible)
 {
     const std::scoped_lock lock(m_mutex);
+    drop_expired_holds();
     auto& state = m_targets[request.serves];
     auto endpoints = endpoints_of(state, request.serves);
     // An endpoint that just died or does not answer may still be in the table, and would be the first choice
@@ -102,15 +147,66 @@
 {
     const std::scoped_lock lock(m_mutex);
     auto& state = m_targets[target];
-    state.running.erase(endpoint);
+    const auto running = state.running.find(endpoint);
+    if (running != state.running.end()) {
+        if (m_peers.release)
+            m_peers.release(endpoint, running->second);
+        state.running.erase(running);
+    }
     plan_without_start(state, target);
 }
 
+isolation_answer suspect_isolation::hold_for_peer(const instance_id& peer, const endpoint_id& endpoint,
+                                                  const admission::content_key& suspect, milliseconds time)
+{
+    const std::scoped_lock lock(m_mutex);
+    drop_expired_holds();
+    const auto held = m_holds.find(endpoint);
+    const bool own_hold =
+        held != m_holds.end() && held->second.peer == peer && held->second.suspect == suspect;
+    if (time == milliseconds{0}) {
+        if (own_hold) {
+            m_holds.erase(held);
+            --m_reserved_count;
+        }
+        return {true, 0};
+    }
+    const bool copy_held = std::ranges::any_of(m_holds, [&](const auto& each) {
+        return each.second.suspect == suspect && (each.first != endpoint || each.second.peer != peer);
+    });
+    if ((held != m_holds.end() && !own_hold) || copy_held || runs_here(endpoint, suspect))
+        return {};
+    if (m_holds.insert_or_assign(endpoint, peer_hold{peer, suspect, now() + time}).second)
+        ++m_reserved_count;
+    const auto load = m_table.find_load(endpoint);
+    return {true, load ? load->own_streams() : 0};
+}
+
+bool suspect_isolation::runs_here(const endpoint_id& endpoint, const admission::content_key& suspect) const
+{
+    return std::ranges::any_of(m_targets, [&](const auto& target) {
+        return std::ranges::any_of(target.second.running, [&](const auto& run) {
+            return run.first == endpoint || run.second == suspect;
+        });
+    });
+}
+
+void suspect_isolation::drop_expired_holds() const
+{
+    m_reserved_count -=
+        std::erase_if(m_holds, [time = now()](const auto& hold) { return hold.second.expires <= time; });
+}
+
 std::vector<endpoint_id> suspect_isolation::reserved(const routing::target& target) const
 {
     const std::scoped_lock lock(m_mutex);
+    drop_expired_holds();
     const auto found = m_targets.find(target);
-    return found == m_targets.end() ? std::vector<endpoint_id>{} : found->second.reserved;
+    auto result = found == m_targets.end() ? std::vector<endpoint_id>{} : found->second.reserved;
+    for (const auto& [endpoint, hold] : m_holds)
+        result.push_back(endpoint);
+    std::ranges::sort(result);
+    return result;
 }
 
 bool suspect_isolation::is_reserved(const routing::target& target, const endpoint_id& endpoint) const
@@ -135,6 +231,8 @@
         const std::vector<admission::content_key> waiting(state.waiting.begin(), state.waiting.end());
         planned = admission::plan_isolation(waiting, endpoints, admission::isolation_limits{});
     }
+    // Holds end without a new plan, so they are kept apart.
+    std::erase_if(planned.reserved, [this](const auto& endpoint) { return m_holds.contains(endpoint); });
     m_reserved_count += planned.reserved.size();
     m_reserved_count -= state.reserved.size();
     state.reserved = std::move(planned.reserved);
@@ -160,6 +258,8 @@
         endpoint.in_flight = entry.load->streams();
         if (const auto running = state.running.find(entry.info->id); running != state.running.end())
             endpoint.suspect = running->second;
+        else if (const auto held = m_holds.find(entry.info->id); held != m_holds.end())
+            endpoint.suspect = held->second.suspect;
         endpoint.reserved = std::ranges::binary_search(state.reserved, entry.info->id);
         result.push_back(std::move(endpoint));
     };
--- a/Services/siskinwharfd/src/suspect_run.cpp
+++ b/Services/siskinwharfd/src/suspect_run.cpp
@@ -33,8 +33,14 @@
     const auto limit = std::min(time + (deadline - time) / 2, latest_start);
     auto own = key();
     auto chosen = co_await m_core.isolation.acquire(std::move(own), std::move(routing), limit);
-    if (chosen)
-        m_isolated_at = chosen->endpoint->id;
+    if (!chosen)
+        co_return std::nullopt;
+    m_isolated_at = chosen->endpoint->id;
+    // Peers have crashed another endpoint with a copy while this one waited.
+    if (m_core.quarantine.status(key(), now()) == admission::content_status::quarantined) {
+        chosen.reset();
+        leave();
+    }
     co_return chosen;
 }
 
--- a/Services/siskinwharfd/tests/suspect_test.cpp
+++ b/Services/siskinwharfd/tests/suspect_test.cpp
@@ -160,6 +160,85 @@
     CHECK(first->endpoint->id != other->endpoint->id);
 }
 
+TEST_CASE("an endpoint that a peer holds for a suspect runs nothing else", "[isolation]")
+{
+    // Guards against two entry processes that run two suspects, or a suspect and healthy requests, on one
+    // endpoint, against copies of one suspect at two processes, and against holds that never end.
+    runner_fixture test;
+    for (int count = 0; count < 8; ++count)
+        test.add_endpoint("e" + std::to_string(count), 1, 8);
+    auto& isolation = test.core.isolation;
+    const instance_id peer("j");
+    const endpoint_id held("e0");
+    const isolation_answer granted{true, 0};
+    const isolation_answer refused{};
+    CHECK(isolation.hold_for_peer(peer, held, key_of("a"), seconds(60)) == granted);
+    CHECK(isolation.hold_for_peer(peer, held, key_of("a"), seconds(60)) == granted);
+    CHECK(isolation.is_reserved(chat, held));
+    CHECK(isolation.hold_for_peer(instance_id("k"), held, key_of("b"), seconds(60)) == refused);
+    CHECK(isolation.hold_for_peer(instance_id("k"), endpoint_id("e1"), key_of("a"), seconds(60)) == refused);
+    CHECK_FALSE(isolate(test, "a"));
+    const auto other = isolate(test, "b");
+    REQUIRE(other);
+    CHECK(other->endpoint->id != held);
+    CHECK(isolation.hold_for_peer(peer, other->endpoint->id, key_of("c"), seconds(60)) == refused);
+    CHECK(isolation.hold_for_peer(peer, endpoint_id("e7"), key_of("b"), seconds(60)) == refused);
+
+    CHECK(isolation.hold_for_peer(instance_id("k"), held, key_of("a"), milliseconds(0)) == granted);
+    CHECK(isolation.is_reserved(chat, held));
+    CHECK(isolation.hold_for_peer(peer, held, key_of("a"), milliseconds(0)) == granted);
+    CHECK_FALSE(isolation.is_reserved(chat, held));
+    isolation.release(chat, other->endpoint->id);
+    CHECK_FALSE(isolation.any_reserved());
+    // A hold that has expired counts no longer.
+    (void)isolation.hold_for_peer(peer, held, key_of("a"), milliseconds(-1));
+    CHECK_FALSE(isolation.is_reserved(chat, held));
+    CHECK_FALSE(isolation.any_reserved());
+}
+
+TEST_CASE("a peer that grants an endpoint tells what still runs there", "[isolation]")
+{
+    // Guards against a suspect that starts beside the running requests of another entry process.
+    runner_fixture test;
+    test.add_endpoint("e1", 1, 8);
+    auto load = test.core.table.find_load(endpoint_id("e1"));
+    REQUIRE(load->try_begin(now(), 8, 1, 1));
+    const routing::in_flight_guard running(std::move(load), 1, 1);
+    const isolation_answer busy{true, 1};
+    CHECK(test.core.isolation.hold_for_peer(instance_id("j"), endpoint_id("e1"), key_of("a"), seconds(1)) ==
+          busy);
+}
+
+TEST_CASE("a suspect starts only if the peers agree", "[isolation]")
+{
+    // Guards against a start before the answer, and against a refused endpoint that stays reserved here or
+    // at the peers.
+    runner_fixture test;
+    for (int count = 0; count < 4; ++count)
+        test.add_endpoint("e" + std::to_string(count), 1, 8);
+    bool agree = false;
+    std::vector<endpoint_id> released;
+    isolation_peers peers;
+    peers.claim = [&](endpoint_id, admission::content_key, monotonic_time) -> asio::awaitable<bool> {
+        co_return agree;
+    };
+    peers.release = [&](const endpoint_id& endpoint, const admission::content_key&) {
+        released.push_back(endpoint);
+    };
+    test.core.isolation.set_peers(std::move(peers));
+    CHECK_FALSE(isolate(test, "a"));
+    CHECK(released.size() == 1);
+    CHECK_FALSE(test.core.isolation.any_reserved());
+    agree = true;
+    auto started = isolate(test, "a");
+    REQUIRE(started);
+    CHECK(started->endpoint->id == released.front());
+    started->guard.release(now());
+    test.core.isolation.release(chat, started->endpoint->id);
+    CHECK(released.size() == 2);
+    CHECK_FALSE(test.core.isolation.any_reserved());
+}
+
 TEST_CASE("a suspect that cannot be isolated does not wait past its limit", "[isolation]")
 {
     // Guards against isolation that delays an innocent request past its deadline or reserves the only
--- a/Tests/system/test_crashing_requests.py
+++ b/Tests/system/test_crashing_requests.py
@@ -1,4 +1,4 @@
-"""P8: a request that crashes engines is stopped in its whole failure domain."""
+"""P8: a request that crashes engines is stopped in its whole failure domain, and its neighbours are whole."""
 
 import dataclasses
 import signal
@@ -59,6 +59,18 @@
             self.assert_refused_at_once(deployment, entry)
         self.assertEqual(len(self.deaths(deployment)), 2, self.deaths(deployment))
 
+    def test_neighbours(self):
+        """Guards against streams that are cut, or quarantined themselves, because they ran beside the request:
+        a neighbour that another entry process runs next to the isolated request would be hit twice."""
+        deployment = self.deploy()
+        streams = self.start_streams(deployment, count=18)
+        status, error, _ = self.send_poison(deployment, ENTRIES[0])
+        self.assertEqual((status, error.get("type")), (422, "quarantined"))
+        for entry in (ENTRIES[1], ENTRIES[2], ENTRIES[0]):
+            self.assert_refused_at_once(deployment, entry)
+        self.assert_whole(streams)
+        self.assertEqual(len(self.deaths(deployment)), 2, self.deaths(deployment))
+
     def test_restarted_entries(self):
         """Guards against a quarantine that ends when the process that found it, or any other, restarts."""
         deployment = self.deploy()
