--- a/Services/siskinwharfd/src/model_runner.cpp
+++ b/Services/siskinwharfd/src/model_runner.cpp
@@ -192,11 +192,14 @@
 
 asio::awaitable<routing::chosen_endpoint> model_runner::acquire()
 {
+    co_await m_suspect.confirm_quarantine();
     while (true) {
         if (m_suspect.must_isolate(m_history.accepted)) {
             auto routing = make_routing_request();
             if (auto isolated = co_await m_suspect.acquire(std::move(routing)))
                 co_return std::move(*isolated);
+            // A copy at another entry process may have crashed another endpoint meanwhile.
+            (void)m_suspect.must_isolate(m_history.accepted);
         }
         if (auto planned = take_planned_target())
             co_return std::move(*planned);
@@ -439,7 +442,7 @@
     if (end == attempt_end::refused_leaving && m_core.report_endpoint)
         m_core.report_endpoint(endpoint.id, endpoint_report::leaving);
     if (step.count_crash)
-        m_suspect.note_crash(endpoint.id);
+        m_suspect.note_crash(endpoint);
     if (end == attempt_end::endpoint_lost && m_core.report_endpoint)
         m_core.report_endpoint(endpoint.id, endpoint_report::dead);
     m_refused_full = end == attempt_end::refused_full;
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -15,6 +15,8 @@
 #include "claim_forwarder.h"
 #include "claim_holders.h"
 #include "entry_core.h"
+#include "isolation_exchange.h"
+#include "quarantine_exchange.h"
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/membership/member_table.h"
 #include "siskinwharf/peer/peer_transport.h"
@@ -77,6 +79,7 @@
     void carry_out(membership::member_output output);
     void apply_loads(const peer::load_report& report);
     void apply_load(const endpoint_id& endpoint, const peer::load_digest& load);
+    [[nodiscard]] quarantine_ports make_quarantine_ports();
     [[nodiscard]] std::vector<membership::member_info> working_peers() const;
     [[nodiscard]] std::vector<endpoint_id> own_endpoints() const;
     /// Engines of other failure domains that run streams of this process. Nobody else tells it their load.
@@ -91,6 +94,8 @@
     membership::member_table m_members;
     std::unique_ptr<peer::peer_transport> m_transport;
     claim_holders m_holders;
+    quarantine_exchange m_quarantine;
+    isolation_exchange m_isolation;
     bool m_fetching_sheet = false;
 };
 
--- a/Services/siskinwharfd/src/suspect_run.cpp
+++ b/Services/siskinwharfd/src/suspect_run.cpp
@@ -33,8 +33,14 @@
     const auto limit = std::min(time + (deadline - time) / 2, latest_start);
     auto own = key();
     auto chosen = co_await m_core.isolation.acquire(std::move(own), std::move(routing), limit);
-    if (chosen)
-        m_isolated_at = chosen->endpoint->id;
+    if (!chosen)
+        co_return std::nullopt;
+    m_isolated_at = chosen->endpoint->id;
+    // Peers have crashed another endpoint with a copy while this one waited.
+    if (m_core.quarantine.status(key(), now()) == admission::content_status::quarantined) {
+        chosen.reset();
+        leave();
+    }
     co_return chosen;
 }
 
@@ -47,7 +53,7 @@
     m_core.isolation.release(target, std::exchange(m_isolated_at, {}));
 }
 
-void suspect_run::note_crash(const endpoint_id& endpoint)
+void suspect_run::note_crash(const routing::endpoint_info& endpoint)
 {
     if (m_core.on_endpoint_lost(key(), endpoint) != admission::content_status::quarantined)
         return;
@@ -57,10 +63,18 @@
                                            {"digest", key().digest}});
 }
 
+asio::awaitable<void> suspect_run::confirm_quarantine()
+{
+    if (!m_quarantined || !m_core.confirm_quarantine)
+        co_return;
+    auto own = key();
+    co_await m_core.confirm_quarantine(std::move(own));
+}
+
 void suspect_run::note_finished()
 {
     if (!m_core.quarantine.is_empty())
-        m_core.quarantine.on_finished(key(), now());
+        m_core.on_request_finished(key());
 }
 
 const admission::content_key& suspect_run::key()
