Control: Decide which endpoints change their version now

Cause: the lease holder orders every engine of its failure domain to load a new version as soon as a sheet names it. An engine unloads the old version when it takes the order, so a model is out of service for the time of a load.

`rollout_planner` has no I/O and decides per endpoint: drain, order, read back as loaded, next. At most a quarter of a model's endpoints in a failure domain is out of service, at least one; the first endpoint with a version goes alone; the last endpoint of a model waits while another one is to get that model; loads take tokens of a bucket of 20 a minute. A failed change backs off from 5 s to 120 s; after 3 failures of a version it is reported and tried again on one endpoint every 600 s. A gap of 2 s between two plans starts the drains again, which covers a paused holder and an outage of the table.

`order_planner` gets a permission for each endpoint and keeps what it read back. A configuration that is being loaded is neither in force nor ordered again; until now `loading` was taken for `loaded`.

Ruled out: a share of all endpoints instead of a share of each model's, which could take a small model out as a whole; going back to the old version after a failure, which the sheet does not ask for.

--- a/Libraries/control/include/siskinwharf/control/order_planner.h
+++ b/Libraries/control/include/siskinwharf/control/order_planner.h
@@ -21,6 +21,8 @@
     std::string version;
     std::vector<std::string> adapters;
     std::string role;
+    /// Of a configuration that was read back: the model or an adapter is not loaded yet.
+    bool loading = false;
 
     bool operator==(const endpoint_configuration&) const = default;
 };
@@ -65,6 +67,8 @@
     /// order of an earlier holder at any time, so it is read back more often.
     nanoseconds check_every = seconds(60);
     nanoseconds check_every_unfenced = seconds(5);
+    /// How often an endpoint is read back that loads, or whose order is held back.
+    nanoseconds check_progress_every = milliseconds(500);
     std::size_t orders_in_flight = 8;
 
     auto operator<=>(const order_settings&) const = default;
@@ -78,6 +82,9 @@
 
     /// Sets what an endpoint is to be. The configuration it has is unknown until it was read back.
     void want(const endpoint_id& endpoint, endpoint_configuration wanted, sheet::fencing_support support);
+    /// Whether orders may be sent to the endpoint. Without a call they may; an endpoint whose order is held
+    /// back is still read back.
+    void permit(const endpoint_id& endpoint, bool may_order);
     void forget(const endpoint_id& endpoint) { m_endpoints.erase(endpoint.value()); }
 
     /// Orders and read-backs that are due. Empty while the lease permits no orders. Time passes between this
@@ -95,6 +102,9 @@
     /// Whether the endpoint had the wanted configuration when it was last read back.
     [[nodiscard]] bool in_force(const endpoint_id& endpoint) const;
 
+    /// The configuration that was last read back by this holder, or nothing if it is not known.
+    [[nodiscard]] std::optional<endpoint_configuration> present(const endpoint_id& endpoint) const;
+
     /// How often a configuration that had been in force was found changed.
     [[nodiscard]] std::uint64_t corrections() const { return m_corrections; }
 
@@ -102,10 +112,13 @@
     struct endpoint_orders {
         endpoint_configuration wanted;
         sheet::fencing_support support = sheet::fencing_support::checked;
+        std::optional<endpoint_configuration> present;
+        bool permitted = true;
         bool matches = false;   ///< What was read back is what is wanted.
         bool differs = false;   ///< What was read back is something else.
         bool in_flight = false; ///< An order was sent and has no answer yet.
         bool reading = false;
+        bool held = false; ///< An order is due but not permitted.
         nanoseconds retry{0};
         monotonic_time due; ///< Next action not before this time.
     };
--- a/Libraries/control/src/order_planner.cpp
+++ b/Libraries/control/src/order_planner.cpp
@@ -30,6 +30,17 @@
     orders.due = monotonic_time{};
 }
 
+void order_planner::permit(const endpoint_id& endpoint, bool may_order)
+{
+    const auto found = m_endpoints.find(endpoint.value());
+    if (found == m_endpoints.end())
+        return;
+    auto& orders = found->second;
+    orders.permitted = may_order;
+    if (may_order && std::exchange(orders.held, false))
+        orders.due = monotonic_time{};
+}
+
 std::vector<order_action> order_planner::plan(const lease_holder& lease, monotonic_time now)
 {
     std::vector<order_action> actions;
@@ -40,7 +51,8 @@
         // Another process may have given orders since; everything is read back before the first order.
         m_planned_fencing = fencing;
         for (auto& [name, orders] : m_endpoints) {
-            orders.matches = orders.differs = orders.in_flight = orders.reading = false;
+            orders.matches = orders.differs = orders.in_flight = orders.reading = orders.held = false;
+            orders.present.reset();
             orders.due = now;
         }
     }
@@ -54,7 +66,7 @@
 {
     if (orders.in_flight || orders.reading || now < orders.due)
         return;
-    if (!orders.differs) {
+    if (!orders.differs || !orders.permitted) {
         orders.reading = true;
         actions.emplace_back(read_back{endpoint_id(name)});
         return;
@@ -99,13 +111,22 @@
         return;
     auto& orders = found->second;
     orders.reading = false;
+    orders.held = false;
+    orders.present = configuration;
     if (!configuration) {
         orders.retry = std::clamp(orders.retry * 2, m_settings.first_retry, m_settings.longest_retry);
         orders.due = now + orders.retry;
         return;
     }
+    auto loaded = *configuration;
+    loaded.loading = false;
+    orders.differs = loaded != orders.wanted;
     const bool matched = std::exchange(orders.matches, *configuration == orders.wanted);
-    orders.differs = !orders.matches;
+    // A load that runs is not ordered again.
+    if (!orders.matches && (!orders.differs || !orders.permitted)) {
+        orders.held = orders.differs;
+        orders.due = now + m_settings.check_progress_every;
+    }
     if (matched && orders.differs)
         ++m_corrections;
     if (orders.matches) {
@@ -122,6 +143,12 @@
     return found != m_endpoints.end() && found->second.matches;
 }
 
+std::optional<endpoint_configuration> order_planner::present(const endpoint_id& endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint.value());
+    return found != m_endpoints.end() ? found->second.present : std::nullopt;
+}
+
 std::size_t order_planner::in_flight() const
 {
     return static_cast<std::size_t>(
--- /dev/null
+++ b/Libraries/control/src/rollout_planner.cpp
@@ -0,0 +1,282 @@
+#include "siskinwharf/control/rollout_planner.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <tuple>
+
+namespace siskinwharf::control {
+
+namespace {
+
+std::pair<model_id, std::string> version_of(const endpoint_configuration& configuration)
+{
+    return {configuration.model, configuration.version};
+}
+
+bool is_in_force(const rollout_endpoint& endpoint)
+{
+    return endpoint.present && *endpoint.present == endpoint.wanted;
+}
+
+/// Whether only adapters or the role differ, which an engine changes while its model goes on serving.
+bool keeps_version(const rollout_endpoint& endpoint)
+{
+    return endpoint.present && version_of(*endpoint.present) == version_of(endpoint.wanted);
+}
+
+} // namespace
+
+rollout_plan rollout_planner::plan(const std::vector<rollout_endpoint>& endpoints, monotonic_time now)
+{
+    refill_loads(now);
+    if (now - m_planned_at > m_settings.longest_plan_gap) {
+        for (auto& [id, known] : m_progress) {
+            if (known.now_in == phase::draining)
+                known.now_in = phase::idle;
+        }
+    }
+    m_planned_at = now;
+    std::set<endpoint_id> listed;
+    std::set<model_id> models;
+    for (const auto& endpoint : endpoints) {
+        listed.insert(endpoint.endpoint);
+        models.insert(endpoint.wanted.model);
+        observe(endpoint, now);
+    }
+    std::erase_if(m_progress, [&](const auto& entry) { return !listed.contains(entry.first); });
+    for (const auto& endpoint : endpoints)
+        advance(endpoint, now);
+    for (const auto& model : models)
+        start_changes(endpoints, model, now);
+    rollout_plan result;
+    for (const auto& endpoint : endpoints)
+        result.endpoints.emplace(endpoint.endpoint, decide(endpoints, endpoint));
+    result.stopped = std::exchange(m_stopped, {});
+    return result;
+}
+
+void rollout_planner::order_refused(const endpoint_id& endpoint, monotonic_time now)
+{
+    const auto found = m_progress.find(endpoint);
+    if (found != m_progress.end() && found->second.now_in == phase::ordered)
+        fail(found->second, now);
+}
+
+void rollout_planner::observe(const rollout_endpoint& endpoint, monotonic_time now)
+{
+    const auto [position, added] = m_progress.try_emplace(endpoint.endpoint);
+    auto& known = position->second;
+    if (added)
+        known.unavailable_since = now;
+    if (known.wanted != endpoint.wanted) {
+        known.wanted = endpoint.wanted;
+        known.failures = 0;
+        known.retry_at = now;
+        known.was_in_force = false;
+        known.since = now;
+        if (known.now_in == phase::draining)
+            known.now_in = phase::idle;
+    }
+    const bool served = std::exchange(known.serving, false);
+    if (endpoint.present && !endpoint.present->model.empty()) {
+        const auto version = version_of(*endpoint.present);
+        if (!endpoint.present->loading)
+            known.loaded = version;
+        known.serving = endpoint.live && known.now_in != phase::ordered && known.loaded == version;
+    }
+    if (served && !known.serving)
+        known.unavailable_since = now;
+}
+
+void rollout_planner::advance(const rollout_endpoint& endpoint, monotonic_time now)
+{
+    auto& known = m_progress.at(endpoint.endpoint);
+    if (is_in_force(endpoint)) {
+        if (known.now_in == phase::ordered)
+            m_versions[version_of(known.wanted)] = {};
+        known.now_in = phase::idle;
+        known.failures = 0;
+        known.was_in_force = true;
+        known.serving = endpoint.live;
+        return;
+    }
+    if (known.now_in == phase::ordered && now - known.since > m_settings.longest_load) {
+        fail(known, now);
+        return;
+    }
+    // An earlier holder has ordered the load.
+    if (known.now_in == phase::idle && !known.serving && keeps_version(endpoint) &&
+        endpoint.present->loading && known.failures == 0) {
+        known.now_in = phase::ordered;
+        known.since = now;
+        return;
+    }
+    if (known.now_in != phase::draining || now - known.since < m_settings.shortest_drain)
+        return;
+    const bool is_empty = endpoint.streams == 0 || now - known.since >= m_settings.longest_drain;
+    if (!is_empty || !take_load())
+        return;
+    known.now_in = phase::ordered;
+    known.since = now;
+    known.serving = false;
+    known.unavailable_since = now;
+}
+
+void rollout_planner::fail(progress& failed, monotonic_time now)
+{
+    failed.now_in = phase::idle;
+    const auto doublings = std::min<std::uint32_t>(failed.failures, 16);
+    failed.retry_at =
+        now + std::min(m_settings.first_backoff * (std::int64_t{1} << doublings), m_settings.longest_backoff);
+    ++failed.failures;
+    auto& version = m_versions[version_of(failed.wanted)];
+    ++version.failures;
+    if (version.failures < m_settings.failures_until_stop)
+        return;
+    version.retry_at = now + m_settings.retry_stopped_every;
+    if (!std::exchange(version.stopped, true))
+        m_stopped.push_back({failed.wanted.model, failed.wanted.version, version.failures});
+}
+
+void rollout_planner::refill_loads(monotonic_time now)
+{
+    const std::chrono::duration<double, std::ratio<60>> minutes = now - m_planned_at;
+    m_loads_left =
+        std::min(m_settings.burst_loads, m_loads_left + minutes.count() * m_settings.loads_per_minute);
+}
+
+bool rollout_planner::take_load()
+{
+    if (m_loads_left < 1)
+        return false;
+    m_loads_left -= 1;
+    return true;
+}
+
+std::size_t rollout_planner::limit_of(const endpoint_list& endpoints, const model_id& model,
+                                      const version_key& version) const
+{
+    const auto group =
+        std::ranges::count(endpoints, model, [](const auto& each) { return each.wanted.model; });
+    const bool is_proven = std::ranges::any_of(
+        endpoints, [&](const auto& each) { return is_in_force(each) && version_of(each.wanted) == version; });
+    const auto share = static_cast<std::size_t>(group) * m_settings.percent_at_once / 100;
+    return is_proven ? std::max<std::size_t>(1, share) : 1;
+}
+
+std::size_t rollout_planner::unavailable(const endpoint_list& endpoints, const model_id& model,
+                                         monotonic_time now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(endpoints, [&](const auto& each) {
+        const auto& known = at(each);
+        if (each.wanted.model != model)
+            return false;
+        if (known.now_in == phase::draining)
+            return true;
+        return !known.serving && now - known.unavailable_since < m_settings.ignore_unavailable_after;
+    }));
+}
+
+std::vector<const rollout_endpoint*>
+rollout_planner::candidates(const endpoint_list& endpoints, const model_id& model, monotonic_time now) const
+{
+    std::vector<const rollout_endpoint*> result;
+    for (const auto& each : endpoints) {
+        const auto& known = at(each);
+        const bool is_due = known.now_in == phase::idle && now >= known.retry_at;
+        // One that keeps its version is ordered without a drain.
+        const bool needs_change =
+            each.present && !is_in_force(each) && !(known.serving && keeps_version(each));
+        if (each.wanted.model == model && is_due && each.live && needs_change)
+            result.push_back(&each);
+    }
+    const auto rank = [&](const rollout_endpoint* each) {
+        const auto& known = at(*each);
+        // An endpoint without service has nothing to lose.
+        return std::tuple(known.serving, known.serving && is_last(endpoints, *each), known.failures,
+                          each->endpoint);
+    };
+    std::ranges::sort(result, {}, rank);
+    return result;
+}
+
+bool rollout_planner::is_last(const endpoint_list& endpoints, const rollout_endpoint& endpoint) const
+{
+    return std::ranges::none_of(endpoints, [&](const auto& other) {
+        const auto& known = at(other);
+        return other.endpoint != endpoint.endpoint && known.serving && known.now_in == phase::idle &&
+               other.present->model == endpoint.present->model;
+    });
+}
+
+bool rollout_planner::has_successor(const endpoint_list& endpoints, const rollout_endpoint& endpoint,
+                                    monotonic_time now) const
+{
+    return std::ranges::any_of(endpoints, [&](const auto& other) {
+        const auto& known = at(other);
+        return other.endpoint != endpoint.endpoint && other.live && !known.serving &&
+               other.wanted.model == endpoint.present->model &&
+               now - known.unavailable_since < m_settings.ignore_unavailable_after;
+    });
+}
+
+void rollout_planner::start_changes(const endpoint_list& endpoints, const model_id& model, monotonic_time now)
+{
+    for (const auto* each : candidates(endpoints, model, now)) {
+        auto& known = m_progress.at(each->endpoint);
+        const auto version = version_of(each->wanted);
+        auto& state = m_versions[version];
+        const auto limit = state.stopped ? 1 : limit_of(endpoints, model, version);
+        const auto changing =
+            static_cast<std::size_t>(std::ranges::count_if(endpoints, [&](const auto& other) {
+                return other.wanted.model == model && at(other).now_in != phase::idle;
+            }));
+        if (changing >= limit || (state.stopped && now < state.retry_at))
+            continue;
+        // A version that was taken back by a delayed order of an earlier holder: entry processes send this
+        // endpoint nothing that it can serve, so there is nothing to drain.
+        const bool is_correction = known.was_in_force;
+        if (!known.serving || is_correction) {
+            if (!take_load())
+                return;
+            known.now_in = phase::ordered;
+            known.since = now;
+            known.serving = false;
+            continue;
+        }
+        if (unavailable(endpoints, model, now) >= limit)
+            continue;
+        if (is_last(endpoints, *each) && has_successor(endpoints, *each, now))
+            continue;
+        known.now_in = phase::draining;
+        known.since = now;
+    }
+}
+
+rollout_decision rollout_planner::decide(const endpoint_list& endpoints,
+                                         const rollout_endpoint& endpoint) const
+{
+    const auto& known = at(endpoint);
+    rollout_decision result;
+    result.may_order = known.now_in == phase::ordered || (known.serving && keeps_version(endpoint));
+    const auto serves_beside = [&](const model_id& model, const std::string* version) {
+        return std::ranges::any_of(endpoints, [&](const auto& other) {
+            const auto& beside = at(other);
+            return other.endpoint != endpoint.endpoint && beside.serving && beside.now_in == phase::idle &&
+                   other.present->model == model &&
+                   (version == nullptr || other.present->version == *version);
+        });
+    };
+    result.drained = known.now_in != phase::idle;
+    if (!result.drained && endpoint.present && !known.serving)
+        result.drained = serves_beside(endpoint.wanted.model, nullptr);
+    if (known.now_in == phase::draining) {
+        const bool can_move =
+            endpoint.present && serves_beside(endpoint.present->model, &endpoint.present->version);
+        result.empty_by = known.since + (can_move ? m_settings.move_streams_after : m_settings.longest_drain);
+    }
+    return result;
+}
+
+} // namespace siskinwharf::control
--- a/Services/siskinwharfd/src/http_order_endpoint.cpp
+++ b/Services/siskinwharfd/src/http_order_endpoint.cpp
@@ -66,6 +66,8 @@
     for (const auto& adapter : model.at("adapters").as_array())
         result.adapters.emplace_back(adapter.as_string());
     std::ranges::sort(result.adapters);
+    const auto* state = model.if_contains("state");
+    result.loading = state != nullptr && state->is_string() && state->get_string() == "loading";
     return result;
 }
 
