Peer: Add a message with the versions and drains of endpoints

The instance list says neither which version an engine serves after an order nor that it is drained for one, and the notices about endpoints cannot be taken back. `rollout_state` carries both from the lease holder to the entry processes of its failure domain; fencing token and sequence order it.

Ruled out: a row of the table, which every entry process would have to poll far more often than the sheet for a drain to be known within 2 s.

--- a/Libraries/peer/include/siskinwharf/peer/messages.h
+++ b/Libraries/peer/include/siskinwharf/peer/messages.h
@@ -286,10 +286,32 @@
     auto operator<=>(const isolation_reply&) const = default;
 };
 
+/// What the lease holder of a failure domain has read back from one of its model engines.
+struct endpoint_version {
+    endpoint_id endpoint;
+    model_id model;
+    std::string version;
+    /// Time until its streams must have left it, if it gets no new work until its configuration has changed.
+    std::optional<milliseconds> drained;
+
+    auto operator<=>(const endpoint_version&) const = default;
+};
+
+/// Versions and drains of some endpoints. Of two states of an endpoint the one with the higher fencing token,
+/// then sequence is newer.
+struct rollout_state {
+    std::uint64_t fencing = 0;
+    std::uint64_t sequence = 0;
+    std::vector<endpoint_version> endpoints;
+
+    auto operator<=>(const rollout_state&) const = default;
+};
+
 /// All messages. The position of a type is its number in the frame: append new ones at the end.
-using message = std::variant<ping, ack, ping_request, member_join, member_sync, load_report, endpoint_notices,
-                             summary_request, summary_reply, sheet_request, sheet_reply, locate_request,
-                             locate_reply, handover_request, handover_reply, claim_status_request,
-                             claim_status_reply, quarantine_update, isolation_request, isolation_reply>;
+using message =
+    std::variant<ping, ack, ping_request, member_join, member_sync, load_report, endpoint_notices,
+                 summary_request, summary_reply, sheet_request, sheet_reply, locate_request, locate_reply,
+                 handover_request, handover_reply, claim_status_request, claim_status_reply,
+                 quarantine_update, isolation_request, isolation_reply, rollout_state>;
 
 } // namespace siskinwharf::peer
--- a/Libraries/peer/peer.thrift
+++ b/Libraries/peer/peer.thrift
@@ -165,3 +165,16 @@
   1: bool granted
   2: i32 in_flight
 }
+
+struct endpoint_version {
+  1: string endpoint
+  2: string model
+  3: string version
+  4: i64 drained_ms
+}
+
+struct rollout_state {
+  1: i64 fencing
+  2: i64 sequence
+  3: list<endpoint_version> endpoints
+}
--- a/Libraries/peer/src/conversion.h
+++ b/Libraries/peer/src/conversion.h
@@ -28,6 +28,7 @@
 wire::quarantine_update to_wire(const quarantine_update& value);
 wire::isolation_request to_wire(const isolation_request& value);
 wire::isolation_reply to_wire(const isolation_reply& value);
+wire::rollout_state to_wire(const rollout_state& value);
 
 ping from_wire(const wire::ping& value);
 ack from_wire(const wire::ack& value);
@@ -49,5 +50,6 @@
 quarantine_update from_wire(const wire::quarantine_update& value);
 isolation_request from_wire(const wire::isolation_request& value);
 isolation_reply from_wire(const wire::isolation_reply& value);
+rollout_state from_wire(const wire::rollout_state& value);
 
 } // namespace siskinwharf::peer
--- a/Libraries/peer/tests/frame_test.cpp
+++ b/Libraries/peer/tests/frame_test.cpp
@@ -43,6 +43,10 @@
         quarantine_update{{{account_id("bakery"), std::string(32, '\xAB'), 2}}},
         isolation_request{endpoint_id("m-3"), request_id("r-1"), milliseconds(500)},
         isolation_reply{true, 4},
+        rollout_state{UINT64_MAX,
+                      7,
+                      {{endpoint_id("m-3"), model_id("dough-7b"), "v3", milliseconds(20'000)},
+                       {endpoint_id("m-4"), model_id("dough-7b"), "v4", std::nullopt}}},
     };
 }
 
