--- a/Libraries/sheet/include/siskinwharf/sheet/sheet_register.h
+++ b/Libraries/sheet/include/siskinwharf/sheet/sheet_register.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -18,6 +19,12 @@
     std::uint64_t version = 0;
     std::string text;
     sheet value;
+    /// For each model, the versions of the last sheet before that named other versions of it.
+    std::map<model_id, std::vector<std::string>> preceding_versions;
+
+    /// Versions of a model that serve a request which names none: those of this sheet, then the preceding
+    /// ones.
+    [[nodiscard]] std::vector<std::string> serving_versions(const model_id& model) const;
 };
 
 /// What became of an offered sheet.
--- a/Libraries/sheet/src/sheet_register.cpp
+++ b/Libraries/sheet/src/sheet_register.cpp
@@ -8,6 +8,50 @@
 
 namespace siskinwharf::sheet {
 
+namespace {
+
+std::vector<std::string> versions_of(const sheet& sheet, const model_id& model)
+{
+    std::vector<std::string> result;
+    for (const auto& entry : sheet.models) {
+        if (entry.model == model)
+            result.push_back(entry.version);
+    }
+    return result;
+}
+
+/// A sheet that names the same versions as the one before does not end a rollout, so the preceding versions
+/// stay.
+std::map<model_id, std::vector<std::string>> preceding_versions(const versioned_sheet& before,
+                                                                const sheet& next)
+{
+    std::map<model_id, std::vector<std::string>> result;
+    for (const auto& entry : next.models) {
+        auto old = versions_of(before.value, entry.model);
+        if (old == versions_of(next, entry.model)) {
+            const auto known = before.preceding_versions.find(entry.model);
+            old = known == before.preceding_versions.end() ? std::vector<std::string>{} : known->second;
+        }
+        result.insert_or_assign(entry.model, std::move(old));
+    }
+    return result;
+}
+
+} // namespace
+
+std::vector<std::string> versioned_sheet::serving_versions(const model_id& model) const
+{
+    auto result = versions_of(value, model);
+    const auto preceding = preceding_versions.find(model);
+    if (preceding == preceding_versions.end())
+        return result;
+    for (const auto& old : preceding->second) {
+        if (std::ranges::find(result, old) == result.end())
+            result.push_back(old);
+    }
+    return result;
+}
+
 sheet_register::sheet_register(monotonic_time started) : m_started(started) {}
 
 sheet_register::~sheet_register()
@@ -43,6 +87,8 @@
     // Another thread may have put a newer version in force while this one parsed.
     if (version <= this->version())
         return offer_outcome::not_newer;
+    if (const auto before = current())
+        next->preceding_versions = preceding_versions(*before, next->value);
     publish(std::make_unique<const holder>(std::move(next)));
     m_version.store(version, std::memory_order_release);
     m_newest_known = std::max(m_newest_known, version);
