Services: Roll a model version out one endpoint after another

Cause: a sheet with a new version made the lease holder order all engines of its failure domain at once. Requests found no endpoint, and found none after the load either: routing took the version from the instance list, which goes on naming the old one.

`rollout_executor` feeds what is read back to `rollout_planner` and sends drains and versions to the entry processes of the failure domain, which correct the instance list with it (`endpoint_versions`). A drained endpoint is leaving for routing, and the reclaim plan moves what does not end in time, but membership does not hear of it, so it comes back. A drain that is not repeated for 5 s ends.

A request gets its version when it is accepted: the one with the most room among those of the sheet in force and the preceding one, or of any endpoint of the model if none of these takes work. After that it stays. If no endpoint has had it for 10 s, the request ends with the new type `version_gone`.

Ruled out: the notices of membership, whose order of states knows no way back; a routing request with several targets, which changes the admission queue of each target (a request of a model with two versions now waits at most 200 ms for one version before it looks again, and keeps its place as a retry only).

Changed tests: in control_loop_test the two engines of "paused at any point" have a configuration of their own and 8 s instead of 1 s, because they change one after the other; "a refused token" waits for the first order, which comes after the drain. Both check what they checked before.

--- a/Libraries/base/include/siskinwharf/base/event.h
+++ b/Libraries/base/include/siskinwharf/base/event.h
@@ -72,6 +72,8 @@
 
 inline constexpr event_kind peer_leaving{407, event_level::info, "peer_leaving",
                                          "A peer is leaving or has left on its own."};
+inline constexpr event_kind endpoint_version{408, event_level::info, "endpoint_version",
+                                             "A model engine serves another version or is drained for it."};
 
 inline constexpr event_kind platform_unavailable{500, event_level::warning, "platform_unavailable",
                                                  "A platform service does not answer."};
@@ -85,20 +87,20 @@
                                        "An order was given to an endpoint or the cloud API."};
 inline constexpr event_kind order_refused{505, event_level::warning, "order_refused",
                                           "An endpoint or the cloud API refused an order."};
+inline constexpr event_kind rollout_stopped{506, event_level::warning, "rollout_stopped",
+                                            "A version failed to load too often and is not spread further."};
 
 /// All events, in the order of their numbers.
 inline constexpr std::array all{
-    process_started,     process_ready,        process_stopping,
-    process_stopped,     settings_rejected,    listen_failed,
-    request_accepted,    request_finished,     request_refused,
-    attempt_failed,      request_moved,        request_handed_over,
-    request_quarantined, claim_uncertain,      sheet_in_force,
-    sheet_rejected,      sheet_conflict,       endpoint_added,
-    endpoint_leaving,    endpoint_dead,        peer_suspected,
-    peer_dead,           peer_alive,           peer_message_rejected,
-    peer_leaving,        platform_unavailable, platform_available,
-    lease_acquired,      lease_lost,           order_sent,
-    order_refused,
+    process_started,     process_ready,    process_stopping,     process_stopped,
+    settings_rejected,   listen_failed,    request_accepted,     request_finished,
+    request_refused,     attempt_failed,   request_moved,        request_handed_over,
+    request_quarantined, claim_uncertain,  sheet_in_force,       sheet_rejected,
+    sheet_conflict,      endpoint_added,   endpoint_leaving,     endpoint_dead,
+    peer_suspected,      peer_dead,        peer_alive,           peer_message_rejected,
+    peer_leaving,        endpoint_version, platform_unavailable, platform_available,
+    lease_acquired,      lease_lost,       order_sent,           order_refused,
+    rollout_stopped,
 };
 
 } // namespace event
--- a/Libraries/http/include/siskinwharf/http/refusal.h
+++ b/Libraries/http/include/siskinwharf/http/refusal.h
@@ -33,6 +33,7 @@
     call_in_progress,
     idempotency_key_missing,
     deadline_exceeded,
+    version_gone,
     internal,
 };
 
--- a/Libraries/http/src/refusal.cpp
+++ b/Libraries/http/src/refusal.cpp
@@ -37,6 +37,7 @@
     refusal_row{refusal_type::call_in_progress, 409, "call_in_progress"},
     refusal_row{refusal_type::idempotency_key_missing, 400, "idempotency_key_missing"},
     refusal_row{refusal_type::deadline_exceeded, 504, "deadline_exceeded"},
+    refusal_row{refusal_type::version_gone, 503, "version_gone"},
     refusal_row{refusal_type::internal, 500, "internal"},
 };
 
--- a/Libraries/sheet/tests/sheet_register_test.cpp
+++ b/Libraries/sheet/tests/sheet_register_test.cpp
@@ -1,4 +1,5 @@
 #include <atomic>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -44,6 +45,28 @@
     CHECK(holds);
 }
 
+TEST_CASE("the versions before the last change of a model stay known until its next change")
+{
+    // Guards against a rollout that loses its old endpoints because an unrelated sheet follows.
+    const auto text = [](const std::string& model_version, std::uint64_t spend) {
+        sheet value = parse_sheet(make_text(spend));
+        model_entry entry;
+        entry.model = model_id("m");
+        entry.version = model_version;
+        value.models.push_back(entry);
+        return render_sheet(value);
+    };
+    const model_id model("m");
+    sheet_register versions(start);
+    REQUIRE(versions.offer(1, text("v1", 1)) == offer_outcome::in_force);
+    CHECK(versions.current()->serving_versions(model) == std::vector<std::string>{"v1"});
+    REQUIRE(versions.offer(2, text("v2", 1)) == offer_outcome::in_force);
+    REQUIRE(versions.offer(3, text("v2", 2)) == offer_outcome::in_force);
+    CHECK(versions.current()->serving_versions(model) == std::vector<std::string>{"v2", "v1"});
+    REQUIRE(versions.offer(4, text("v3", 2)) == offer_outcome::in_force);
+    CHECK(versions.current()->serving_versions(model) == std::vector<std::string>{"v3", "v2"});
+}
+
 TEST_CASE("an invalid text changes nothing, and a wrong report is dropped")
 {
     sheet_register versions(start);
--- a/Services/siskinwharfd/src/caller_api.cpp
+++ b/Services/siskinwharfd/src/caller_api.cpp
@@ -179,6 +179,7 @@
         throw request_refused({refusal_type::forbidden, "the account may not use this model in this region"});
     spec.account = account.account;
     spec.version = model->version;
+    spec.versions = sheet.serving_versions(spec.model);
     spec.received = now();
     spec.deadline = spec.received + deadline_of(message);
     spec.first_token_target = grant->first_token;
--- a/Services/siskinwharfd/src/control_loop.cpp
+++ b/Services/siskinwharfd/src/control_loop.cpp
@@ -57,13 +57,16 @@
 } // namespace
 
 control_loop::control_loop(asio::io_context& context, entry_core& core, platform::table_store& table,
-                           http::client& client, leaving_handler on_leaving)
-    : control_loop(context, core, table, http_ports(core.settings, client), std::move(on_leaving))
+                           http::client& client, leaving_handler on_leaving,
+                           rollout_executor::state_handler on_rollout)
+    : control_loop(context, core, table, http_ports(core.settings, client), std::move(on_leaving),
+                   std::move(on_rollout))
 {
 }
 
 control_loop::control_loop(asio::io_context& context, entry_core& core, platform::table_store& table,
-                           control_ports ports, leaving_handler on_leaving)
+                           control_ports ports, leaving_handler on_leaving,
+                           rollout_executor::state_handler on_rollout)
     : m_context(context),
       m_core(core),
       m_table(table),
@@ -71,6 +74,7 @@
       m_on_leaving(std::move(on_leaving)),
       m_lease(core.settings.failure_domain, holder_name(core.settings.instance),
               lease_settings_of(core.settings)),
+      m_rollout(core, std::move(on_rollout)),
       m_capacity(core, *m_ports.cloud, m_ports.clock)
 {
 }
@@ -105,7 +109,7 @@
     start_notices();
     if (!may_order())
         co_return;
-    assign_orders();
+    assign_orders(*fencing);
     start_orders();
     start_capacity(*fencing);
 }
@@ -152,13 +156,11 @@
            control::order_permission::permitted;
 }
 
-void control_loop::assign_orders()
+void control_loop::assign_orders(std::uint64_t fencing)
 {
     const auto sheet = m_core.sheets.current();
     if (sheet == nullptr)
         return;
-    // FIXME: Change the version of a model on a few endpoints at a time. An engine unloads the old version
-    // when it takes the order, so a new sheet makes all endpoints of a model load at once.
     auto assigned = assign_models(sheet->value, m_records, m_core.settings.failure_domain);
     for (const auto& [id, model] : m_assigned) {
         if (!assigned.contains(id))
@@ -167,6 +169,8 @@
     for (const auto& [id, model] : assigned)
         m_orders.want(id, model.wanted, model.support);
     m_assigned = std::move(assigned);
+    // An engine unloads the old version when it takes the order, so orders are held back until their turn.
+    m_rollout.step(m_assigned, m_orders, fencing, m_ports.clock());
 }
 
 void control_loop::start_orders()
@@ -201,8 +205,10 @@
         log_event(event::order_refused, {{"endpoint", endpoint.value()},
                                          {"reason", "stale_fencing"},
                                          {"highest", std::to_string(stale->newer_token)}});
-    if (std::holds_alternative<control::order_refused>(result))
+    if (std::holds_alternative<control::order_refused>(result)) {
         log_event(event::order_refused, {{"endpoint", endpoint.value()}, {"reason", "refused"}});
+        m_rollout.order_refused(endpoint, m_ports.clock());
+    }
     m_orders.order_done(endpoint, result, m_lease, m_ports.clock());
 }
 
--- a/Services/siskinwharfd/src/control_loop.h
+++ b/Services/siskinwharfd/src/control_loop.h
@@ -14,6 +14,7 @@
 #include "entry_core.h"
 #include "model_assignment.h"
 #include "order_endpoint.h"
+#include "rollout_executor.h"
 #include "siskinwharf/control/lease_holder.h"
 #include "siskinwharf/control/order_planner.h"
 #include "siskinwharf/http/client.h"
@@ -35,11 +36,13 @@
 public:
     using leaving_handler = std::function<void(std::map<endpoint_id, monotonic_time>)>;
 
-    /// `on_leaving` is called with instances that the cloud takes back and when each is gone.
+    /// `on_leaving` is called with instances that the cloud takes back and when each is gone, `on_rollout`
+    /// with versions and drains of endpoints for all entry processes of the failure domain.
     control_loop(boost::asio::io_context& context, entry_core& core, platform::table_store& table,
-                 http::client& client, leaving_handler on_leaving);
+                 http::client& client, leaving_handler on_leaving,
+                 rollout_executor::state_handler on_rollout);
     control_loop(boost::asio::io_context& context, entry_core& core, platform::table_store& table,
-                 control_ports ports, leaving_handler on_leaving);
+                 control_ports ports, leaving_handler on_leaving, rollout_executor::state_handler on_rollout);
 
     void start();
     /// Takes in the instance list.
@@ -57,7 +60,7 @@
     boost::asio::awaitable<void> execute(control::read_back query, http::address target);
     boost::asio::awaitable<void> read_notices();
     void note_lease();
-    void assign_orders();
+    void assign_orders(std::uint64_t fencing);
     void start_orders();
     void start_capacity(std::uint64_t fencing);
     void start_notices();
@@ -70,6 +73,7 @@
     leaving_handler m_on_leaving;
     control::lease_holder m_lease;
     control::order_planner m_orders{control::order_settings{}};
+    rollout_executor m_rollout;
     capacity_executor m_capacity;
     std::vector<platform::instance_record> m_records;
     std::map<endpoint_id, assigned_model> m_assigned;
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -66,7 +66,11 @@
       m_peers(std::make_shared<peer_node>(m_control, m_core, m_client, m_committer, make_peer_callbacks())),
       m_control_loop(
           m_control, m_core, m_table, m_client,
-          [this](const std::map<endpoint_id, monotonic_time>& gone_at) { m_platform.announce(gone_at); })
+          [this](const std::map<endpoint_id, monotonic_time>& gone_at) { m_platform.announce(gone_at); },
+          [this](const peer::rollout_state& state) {
+              m_platform.apply_rollout(state);
+              m_peers->send(state);
+          })
 {
     const auto& settings = m_core.settings;
     std::optional<http::tls_files> tls;
@@ -110,6 +114,10 @@
         for (auto& own : m_workers)
             asio::post(own->context(), [&own, gone_at] { own->reclaims().on_leaving(gone_at); });
     };
+    result.on_restored = [this](const std::set<endpoint_id>& endpoints) {
+        for (auto& own : m_workers)
+            asio::post(own->context(), [&own, endpoints] { own->reclaims().on_restored(endpoints); });
+    };
     result.on_instances = [this](const std::vector<platform::instance_record>& records) {
         m_peers->apply_instances(records);
         m_control_loop.update(records);
@@ -130,6 +138,9 @@
     result.on_notices = [this](const std::vector<peer::endpoint_notice>& notices) {
         m_platform.apply_notices(notices);
     };
+    result.on_rollout = [this](const peer::rollout_state& state) {
+        m_platform.apply_rollout(state);
+    };
     result.on_probe = [this](const endpoint_id& endpoint, bool answered) {
         m_platform.probe_ended(endpoint, answered);
     };
--- a/Services/siskinwharfd/src/live_request.h
+++ b/Services/siskinwharfd/src/live_request.h
@@ -26,7 +26,9 @@
     request_id id;
     account_id account;
     model_id model;
-    std::string version;
+    std::string version; ///< The answer's, once the request is accepted.
+    /// Versions that may serve the request before it is accepted, the preferred one first.
+    std::vector<std::string> versions;
     std::string prompt;
     std::uint32_t max_tokens = 0;
     bool streaming = false;
@@ -64,6 +66,8 @@
     [[nodiscard]] const std::optional<http::refusal>& failure() const { return m_failure; }
 
     void accept();
+    /// Sets the version of the answer. Must not be called once the request is accepted.
+    void set_version(std::string version) { m_spec.version = std::move(version); }
     void finish();
     void fail(http::refusal reason);
     /// Notes that tokens arrived, for the speed of the stream.
--- a/Services/siskinwharfd/src/model_runner.h
+++ b/Services/siskinwharfd/src/model_runner.h
@@ -9,6 +9,7 @@
 
 #include "entry_core.h"
 #include "live_request.h"
+#include "request_version.h"
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/serving/next_step.h"
 #include "suspect_run.h"
@@ -68,6 +69,7 @@
     bool m_may_have_run = false;
     std::vector<endpoint_id> m_excluded;
     suspect_run m_suspect;
+    request_version m_version;
     monotonic_time m_last_tokens_at{};
     /// The last attempt was refused by a full endpoint.
     bool m_refused_full = false;
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -115,6 +115,12 @@
     m_members.relay(notices);
 }
 
+void peer_node::send(const peer::rollout_state& state)
+{
+    for (const auto& member : working_peers())
+        m_transport->send(member.member, member.contact, state);
+}
+
 void peer_node::carry_out(membership::member_output output)
 {
     for (auto& message : output.messages) {
@@ -267,6 +273,10 @@
         apply_loads(*loads);
         return;
     }
+    if (const auto* rollout = std::get_if<peer::rollout_state>(&datagram.body)) {
+        m_callbacks.on_rollout(*rollout);
+        return;
+    }
     carry_out(m_members.receive(now(), m_random, datagram.sender, from, datagram.body));
 }
 
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -24,6 +24,7 @@
 struct peer_callbacks {
     std::function<void(const std::vector<peer::endpoint_notice>&)> on_notices;
     std::function<void(const endpoint_id&, bool answered)> on_probe;
+    std::function<void(const peer::rollout_state&)> on_rollout;
     std::function<std::vector<peer::endpoint_notice>()> departed;
     std::function<boost::asio::awaitable<peer::locate_state>(request_id)> locate;
     std::function<boost::asio::awaitable<bool>(peer::request_record)> adopt;
@@ -45,6 +46,8 @@
     /// Tells all members about endpoints at once.
     void announce(const std::vector<peer::endpoint_notice>& notices);
     void relay(const std::vector<peer::endpoint_notice>& notices);
+    /// Tells all members what this process has read back as the lease holder.
+    void send(const peer::rollout_state& state);
 
     /// The member that holds a request, if any of them does.
     boost::asio::awaitable<std::optional<instance_id>> locate(request_id request);
--- a/Services/siskinwharfd/src/platform_sync.cpp
+++ b/Services/siskinwharfd/src/platform_sync.cpp
@@ -119,6 +119,13 @@
     m_core.sheets.note_table_version(version);
     if (version <= m_core.sheets.version())
         co_return true;
+    // A process that starts during a rollout needs the versions of the preceding sheet as well.
+    if (m_core.sheets.version() == 0 && version > 1) {
+        const auto preceding = co_await m_table.read(sheet::version_key(version - 1));
+        const auto* old = std::get_if<std::optional<platform::table_row>>(&preceding);
+        if (old != nullptr && *old)
+            m_core.sheets.offer(version - 1, (*old)->value);
+    }
     const auto content = co_await m_table.read(sheet::version_key(version));
     const auto* text = std::get_if<std::optional<platform::table_row>>(&content);
     if (text == nullptr || !*text)
@@ -178,6 +185,8 @@
 void platform_sync::correct_state(routing::endpoint_info& info) const
 {
     const bool own = info.domain == m_core.settings.failure_domain;
+    if (own)
+        m_versions.correct(info);
     if (own && m_directory.state_of(info.id) != peer::endpoint_state::live)
         info.state = routing::endpoint_state::leaving;
 }
@@ -185,14 +194,18 @@
 void platform_sync::apply_instances(const std::vector<platform::instance_record>& records)
 {
     update_directory(records);
+    carry_out(m_versions.expire(now()));
     routing::table_changes changes;
     std::map<endpoint_id, monotonic_time> leaving;
     std::set<endpoint_id> listed;
+    m_own_records.clear();
     for (const auto& record : records) {
         auto info = to_endpoint(record);
         if (!info)
             continue;
         listed.insert(info->id);
+        if (info->domain == m_core.settings.failure_domain)
+            m_own_records.emplace(info->id, record);
         correct_state(*info);
         const auto known = m_core.table.find_info(info->id);
         if (known && *known == *info)
@@ -207,6 +220,7 @@
         m_routed.insert(info->id);
         changes.put.push_back(std::move(*info));
     }
+    m_versions.retain(listed);
     std::erase_if(m_routed, [&](const auto& id) {
         // An endpoint of the own failure domain that the list has lost stays until its probes fail.
         if (listed.contains(id) || m_directory.state_of(id) == peer::endpoint_state::live)
@@ -244,6 +258,30 @@
         m_observer.relay(changes.relay);
 }
 
+void platform_sync::carry_out(const endpoint_versions::changes& changes)
+{
+    routing::table_changes table;
+    for (const auto& id : changes.changed) {
+        const auto record = m_own_records.find(id);
+        auto info = record == m_own_records.end() ? std::nullopt : to_endpoint(record->second);
+        if (!info)
+            continue;
+        correct_state(*info);
+        if (const auto* serves = std::get_if<routing::model_target>(&info->serves))
+            log_event(event::endpoint_version, {{"endpoint", id.value()},
+                                                {"model", serves->model.value()},
+                                                {"version", serves->version},
+                                                {"drained", changes.drained.contains(id) ? "yes" : "no"}});
+        table.put.push_back(std::move(*info));
+    }
+    if (!table.put.empty())
+        m_core.table.publish(table);
+    if (!changes.restored.empty())
+        m_observer.on_restored(changes.restored);
+    if (!changes.drained.empty())
+        m_observer.on_leaving(changes.drained);
+}
+
 void platform_sync::report(const endpoint_id& endpoint, endpoint_report report)
 {
     if (report == endpoint_report::leaving) {
--- a/Services/siskinwharfd/src/platform_sync.h
+++ b/Services/siskinwharfd/src/platform_sync.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "endpoint_versions.h"
 #include "entry_core.h"
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/membership/endpoint_directory.h"
@@ -24,6 +25,8 @@
     struct observer {
         /// Endpoints began to leave; each is gone at its time.
         std::function<void(std::map<endpoint_id, monotonic_time>)> on_leaving;
+        /// Endpoints are no longer drained for a change of their version.
+        std::function<void(std::set<endpoint_id>)> on_restored;
         /// The instance list was read.
         std::function<void(const std::vector<platform::instance_record>&)> on_instances;
         /// This process learned something about an endpoint that its peers should know at once.
@@ -40,6 +43,8 @@
     void report(const endpoint_id& endpoint, endpoint_report report);
     /// Takes in what peers know about endpoints.
     void apply_notices(const std::vector<peer::endpoint_notice>& notices);
+    /// Takes in the versions and drains that the lease holder of the failure domain reports.
+    void apply_rollout(const peer::rollout_state& state) { carry_out(m_versions.apply(state, now())); }
     /// Takes in the result of a probe of an endpoint.
     void probe_ended(const endpoint_id& endpoint, bool answered);
     /// Endpoints of the own failure domain that are leaving or dead.
@@ -55,6 +60,7 @@
     void note_platform(bool answers);
     void update_directory(const std::vector<platform::instance_record>& records);
     void carry_out(const membership::endpoint_changes& changes);
+    void carry_out(const endpoint_versions::changes& changes);
     /// Sets the state of an endpoint from the directory, which knows more than the lagging list.
     void correct_state(routing::endpoint_info& info) const;
 
@@ -66,6 +72,9 @@
     std::mt19937_64 m_random{std::random_device{}()};
     bool m_platform_answers = true;
     membership::endpoint_directory m_directory;
+    endpoint_versions m_versions;
+    /// Endpoints of the own failure domain in the instance list.
+    std::map<endpoint_id, platform::instance_record> m_own_records;
     /// Endpoints in the routing table.
     std::set<endpoint_id> m_routed;
     /// Notice that the platform gave to leaving endpoints.
--- a/Services/siskinwharfd/src/reclaim_coordinator.cpp
+++ b/Services/siskinwharfd/src/reclaim_coordinator.cpp
@@ -56,6 +56,17 @@
     plan();
 }
 
+void reclaim_coordinator::on_restored(const std::set<endpoint_id>& endpoints)
+{
+    for (const auto& endpoint : endpoints)
+        m_gone_at.erase(endpoint);
+    // The endpoint may be drained again while a request still runs there.
+    for (const auto& [key, request] : m_worker.requests()) {
+        if (endpoints.contains(request->planned_for))
+            request->planned_for = {};
+    }
+}
+
 void reclaim_coordinator::plan()
 {
     std::erase_if(m_gone_at, [time = now()](const auto& entry) { return entry.second < time; });
--- a/Services/siskinwharfd/src/reclaim_coordinator.h
+++ b/Services/siskinwharfd/src/reclaim_coordinator.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -25,6 +26,8 @@
     /// Endpoints are leaving; each is gone at its time. Notices of one wave come in one call, so that one
     /// plan spreads the streams of all of them.
     void on_leaving(const std::map<endpoint_id, monotonic_time>& gone_at);
+    /// Endpoints are no longer drained for a change of their version.
+    void on_restored(const std::set<endpoint_id>& endpoints);
 
 private:
     using request_list = std::vector<std::shared_ptr<live_request>>;
--- a/Services/siskinwharfd/src/sheet_view.h
+++ b/Services/siskinwharfd/src/sheet_view.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "siskinwharf/sheet/sheet_register.h"
 
@@ -23,6 +24,11 @@
     [[nodiscard]] const sheet::grant_entry* find_grant(const account_id& account,
                                                        const std::string& target) const;
     [[nodiscard]] const sheet::model_entry* find_model(const model_id& model) const;
+    /// Versions that serve a request for a model, the newest first.
+    [[nodiscard]] std::vector<std::string> serving_versions(const model_id& model) const
+    {
+        return m_source->serving_versions(model);
+    }
     [[nodiscard]] const sheet::service_entry* find_service(const service_id& service) const;
     [[nodiscard]] const sheet::sheet& value() const { return m_source->value; }
 
