--- a/Tests/standins/engine/engine.cpp
+++ b/Tests/standins/engine/engine.cpp
@@ -142,6 +142,7 @@
         response = json_response(200, m_orders.describe(now()));
     } else if (request.matches("POST", "/orders")) {
         const bool applied = m_orders.apply(parse_object(request.body), now());
+        drop_unloaded_streams();
         response = applied ? json_response(200, m_orders.describe(now()))
                            : stale_fencing_response(m_orders.highest_fencing());
     } else if (request.matches("GET", "/stats")) {
@@ -228,6 +229,21 @@
     record_load();
 }
 
+void engine::drop_unloaded_streams()
+{
+    std::erase_if(m_streams, [this](const auto& entry) {
+        engine_stream& stream = *entry.second;
+        const bool is_running = stream.active() || stream.phase == stream_phase::suspended;
+        if (!is_running || m_orders.has(stream.model, stream.version))
+            return false;
+        // An exported stream goes on elsewhere, so its reader loses nothing.
+        if (stream.active())
+            ++m_dropped_by_orders;
+        cancel(stream);
+        return true;
+    });
+}
+
 asio::awaitable<void> engine::create_stream(http_exchange& exchange)
 {
     const json::object body = parse_object(exchange.request().body);
@@ -457,6 +473,7 @@
             {"admitted", m_admitted},
             {"finished", m_finished},
             {"cancelled", m_cancelled},
+            {"dropped_by_orders", m_dropped_by_orders},
             {"refused", std::move(refused)},
             {"wrong_produced", m_wrong_produced},
             {"leaving", m_leaving}};
--- a/Tests/standins/engine/engine.h
+++ b/Tests/standins/engine/engine.h
@@ -49,6 +49,8 @@
     [[nodiscard]] http_response check_admission(const engine_stream& stream, const std::string& adapter);
     void admit(const stream_pointer& stream);
     void cancel(engine_stream& stream);
+    /// Ends and forgets the streams whose model or version an order has unloaded.
+    void drop_unloaded_streams();
     void check_crash(const engine_stream& stream);
     void record_load(std::uint64_t decoded = 0);
     [[nodiscard]] boost::json::object statistics() const;
@@ -70,6 +72,7 @@
     std::uint64_t m_admitted = 0;
     std::uint64_t m_finished = 0;
     std::uint64_t m_cancelled = 0;
+    std::uint64_t m_dropped_by_orders = 0;
     std::uint64_t m_wrong_produced = 0;
     std::map<std::string, std::uint64_t> m_refused;
     bool m_leaving = false;
--- a/Tests/standins/engine/model_orders.cpp
+++ b/Tests/standins/engine/model_orders.cpp
@@ -74,6 +74,13 @@
     });
 }
 
+bool model_orders::has(const std::string& model, const std::string& version) const
+{
+    return std::ranges::any_of(m_models, [&](const loaded_model& entry) {
+        return entry.model == model && entry.version == version;
+    });
+}
+
 std::string model_orders::version_of(const std::string& model, monotonic_time now) const
 {
     for (const loaded_model& entry : m_models) {
--- a/Tests/standins/engine/model_orders.h
+++ b/Tests/standins/engine/model_orders.h
@@ -25,6 +25,8 @@
     /// True if the model is loaded. An empty version means any, an empty adapter none.
     [[nodiscard]] bool serves(const std::string& model, const std::string& version,
                               const std::string& adapter, monotonic_time now) const;
+    /// True if the version is loaded or loading.
+    [[nodiscard]] bool has(const std::string& model, const std::string& version) const;
     /// Version that serves a request which names none; empty if there is none.
     [[nodiscard]] std::string version_of(const std::string& model, monotonic_time now) const;
     /// Body of `GET /orders`.
