--- a/Libraries/control/tests/rollout_test.cpp
+++ b/Libraries/control/tests/rollout_test.cpp
@@ -134,7 +134,7 @@
     "with random faults the allowed share serves at every moment, and the rollout ends after the faults")
 {
     // Guards against an outage by a rollout, and against one that a fault stops for ever.
-    rc::check([] {
+    const bool holds = rc::check([] {
         rollout_settings settings;
         settings.ignore_unavailable_after = seconds(100'000);
         const auto count = *rc::gen::inRange<std::size_t>(2, 13);
@@ -175,6 +175,7 @@
         }
         RC_ASSERT(sut.count_of(sut.version) == count);
     });
+    CHECK(holds);
 }
 
 TEST_CASE("a version that does not load stays on one endpoint, is reported once and tried again later")
@@ -258,6 +259,18 @@
     CHECK(sut.ordered == std::vector{second, first});
 }
 
+TEST_CASE("engines without a model try a version that no engine has loaded one at a time")
+{
+    // Guards against a version that does not load being spread over all engines that have nothing to lose.
+    domain sut(4, rollout_settings{});
+    for (auto& [id, each] : sut.engines)
+        each.has = {};
+    sut.step([] { return fate::loads; });
+    CHECK(sut.ordered.size() == 1);
+    sut.run(seconds(60));
+    CHECK(sut.count_of("v2") == 4);
+}
+
 TEST_CASE("adapters are ordered at once and without a drain")
 {
     // Engines go on serving while an adapter loads.
