--- a/Libraries/peer/peer.thrift
+++ b/Libraries/peer/peer.thrift
@@ -190,3 +190,16 @@
   1: bool accepted
   2: list<claim_write_result> results
 }
+
+struct endpoint_version {
+  1: string endpoint
+  2: string model
+  3: string version
+  4: i64 drained_ms
+}
+
+struct rollout_state {
+  1: i64 fencing
+  2: i64 sequence
+  3: list<endpoint_version> endpoints
+}
--- a/Libraries/peer/src/conversion.h
+++ b/Libraries/peer/src/conversion.h
@@ -30,6 +30,7 @@
 wire::isolation_reply to_wire(const isolation_reply& value);
 wire::claim_commit_request to_wire(const claim_commit_request& value);
 wire::claim_commit_reply to_wire(const claim_commit_reply& value);
+wire::rollout_state to_wire(const rollout_state& value);
 
 ping from_wire(const wire::ping& value);
 ack from_wire(const wire::ack& value);
@@ -53,5 +54,6 @@
 isolation_reply from_wire(const wire::isolation_reply& value);
 claim_commit_request from_wire(const wire::claim_commit_request& value);
 claim_commit_reply from_wire(const wire::claim_commit_reply& value);
+rollout_state from_wire(const wire::rollout_state& value);
 
 } // namespace siskinwharf::peer
--- a/Libraries/peer/tests/frame_test.cpp
+++ b/Libraries/peer/tests/frame_test.cpp
@@ -46,6 +46,10 @@
         claim_commit_request{{{"claim/bakery/0", std::string("{\0\xFF}", 4), UINT64_MAX}},
                              milliseconds(1500)},
         claim_commit_reply{true, {{claim_write_state::conflict, std::string("{\0\xFF}", 4), UINT64_MAX}}},
+        rollout_state{UINT64_MAX,
+                      7,
+                      {{endpoint_id("m-3"), model_id("dough-7b"), "v3", milliseconds(20'000)},
+                       {endpoint_id("m-4"), model_id("dough-7b"), "v4", std::nullopt}}},
     };
 }
 
