Services: Read the instance list once for a failure domain

Cause: every entry process read the whole list every 0.5 s, 1.5 MB/s at 2,670 records, 148 times its budget.

One process of a failure domain, chosen by rendezvous hash over the working members, now reads the list and tells the others what changed; membership::instance_share decides and has no I/O. A state of the list is named by a digest of its records, and a change names the state it starts from: a receiver that was never in that state asks the sender, names its last states and gets the steps from the newest common one, or the whole list. The reader confirms an unchanged list about once a second. The platform is asked on condition of the list's entity tag (ETag, If-None-Match, 304); a platform that sends none is read whole by the one reader. The tag travels with the reports, so a process that takes over asks on condition as well.

Ruled out: a version counter of the reader as the only name of a state. After a change of the reader two processes can use one number for different lists; a digest cannot. Version alone stays as the order in time. Ruled out also: naming only the present state in a request.

The routing table used to be corrected with the next list, which now comes only after a change, so a change in the endpoint directory asks for the list again, and it is handed out every 5 s in any case. list_result now carries the tag; no test used it.

--- a/Libraries/peer/include/siskinwharf/peer/messages.h
+++ b/Libraries/peer/include/siskinwharf/peer/messages.h
@@ -286,10 +286,57 @@
     auto operator<=>(const isolation_reply&) const = default;
 };
 
+/// What an instance serves.
+enum class workload_kind : std::uint8_t { entry, model, service };
+
+/// One record of the platform's instance list.
+struct instance_entry {
+    instance_id id;
+    std::string address;
+    std::uint16_t port = 0;
+    std::uint16_t peer_port = 0; ///< Of an entry process.
+    failure_domain_id domain;
+    region_id region;
+    workload_kind kind = workload_kind::entry;
+    std::string serves;  ///< Name of the model or service.
+    std::string version; ///< Of the model.
+    bool leaving = false;
+    std::optional<milliseconds> leaves_in; ///< Counted from when the message was made.
+    std::uint64_t started_ms = 0;          ///< Since the epoch.
+    std::uint32_t capacity = 0;
+    std::string machine_class;
+    std::uint64_t price_microcents_per_second = 0;
+    bool reclaimable = false;
+
+    auto operator<=>(const instance_entry&) const = default;
+};
+
+/// What changed in the instance list between two states, each named by the digest of its records. Without
+/// changes it says that the list was read just now and is the one with this digest.
+struct instance_changes {
+    std::uint64_t version = 0;     ///< Milliseconds since the epoch; a higher one is newer. 0: no list.
+    std::uint64_t base_digest = 0; ///< The state to which the changes apply.
+    std::uint64_t digest = 0;      ///< The state after the changes.
+    std::string tag;               ///< The platform's tag of that state; empty if it gives none.
+    bool whole = false;            ///< `put` is the whole list.
+    std::vector<instance_entry> put;
+    std::vector<instance_id> removed;
+
+    auto operator<=>(const instance_changes&) const = default;
+};
+
+/// Asks for `instance_changes` from one of these states to the recipient's.
+struct instance_list_request {
+    std::vector<std::uint64_t> digests; ///< The sender's states, the present one first; empty without a list.
+
+    auto operator<=>(const instance_list_request&) const = default;
+};
+
 /// All messages. The position of a type is its number in the frame: append new ones at the end.
 using message = std::variant<ping, ack, ping_request, member_join, member_sync, load_report, endpoint_notices,
                              summary_request, summary_reply, sheet_request, sheet_reply, locate_request,
                              locate_reply, handover_request, handover_reply, claim_status_request,
-                             claim_status_reply, quarantine_update, isolation_request, isolation_reply>;
+                             claim_status_reply, quarantine_update, isolation_request, isolation_reply,
+                             instance_changes, instance_list_request>;
 
 } // namespace siskinwharf::peer
--- a/Libraries/peer/peer.thrift
+++ b/Libraries/peer/peer.thrift
@@ -165,3 +165,37 @@
   1: bool granted
   2: i32 in_flight
 }
+
+// One instance of the platform's list.
+struct instance_entry {
+  1: string id
+  2: string address
+  3: i32 port
+  4: i32 peer_port
+  5: string domain
+  6: string region
+  7: i8 kind
+  8: string serves
+  9: string version
+  10: bool leaving
+  11: i64 leaves_in_ms
+  12: i64 started_ms
+  13: i32 capacity
+  14: string machine_class
+  15: i64 price
+  16: bool reclaimable
+}
+
+struct instance_changes {
+  1: i64 version
+  2: i64 base_digest
+  3: i64 digest
+  4: string tag
+  5: bool whole
+  6: list<instance_entry> put
+  7: list<string> removed
+}
+
+struct instance_list_request {
+  1: list<i64> digests
+}
--- a/Libraries/peer/src/conversion.h
+++ b/Libraries/peer/src/conversion.h
@@ -28,6 +28,8 @@
 wire::quarantine_update to_wire(const quarantine_update& value);
 wire::isolation_request to_wire(const isolation_request& value);
 wire::isolation_reply to_wire(const isolation_reply& value);
+wire::instance_changes to_wire(const instance_changes& value);
+wire::instance_list_request to_wire(const instance_list_request& value);
 
 ping from_wire(const wire::ping& value);
 ack from_wire(const wire::ack& value);
@@ -49,5 +51,7 @@
 quarantine_update from_wire(const wire::quarantine_update& value);
 isolation_request from_wire(const wire::isolation_request& value);
 isolation_reply from_wire(const wire::isolation_reply& value);
+instance_changes from_wire(const wire::instance_changes& value);
+instance_list_request from_wire(const wire::instance_list_request& value);
 
 } // namespace siskinwharf::peer
--- a/Libraries/peer/tests/frame_test.cpp
+++ b/Libraries/peer/tests/frame_test.cpp
@@ -21,6 +21,23 @@
         41};
     const domain_summary summary{
         failure_domain_id("ocho"), 99, {{model_id("dough-7b"), "v2", 20, UINT32_MAX, 7}}};
+    instance_entry listed;
+    listed.id = instance_id("m-3");
+    listed.address = "127.0.0.1";
+    listed.port = 65535;
+    listed.peer_port = 9081;
+    listed.domain = failure_domain_id("ocho-a");
+    listed.region = region_id("ocho");
+    listed.kind = workload_kind::service;
+    listed.serves = "orders";
+    listed.version = "v2";
+    listed.leaving = true;
+    listed.leaves_in = milliseconds(30'000);
+    listed.started_ms = 1'790'000'000'000;
+    listed.capacity = UINT32_MAX;
+    listed.machine_class = "gpu-small";
+    listed.price_microcents_per_second = UINT64_MAX;
+    listed.reclaimable = true;
     return {
         ping{1, news},
         ack{UINT64_MAX, news},
@@ -43,6 +60,8 @@
         quarantine_update{{{account_id("bakery"), std::string(32, '\xAB'), 2}}},
         isolation_request{endpoint_id("m-3"), request_id("r-1"), milliseconds(500)},
         isolation_reply{true, 4},
+        instance_changes{1'796'000'000'000, 17, UINT64_MAX, "W/\"a\"", true, {listed}, {instance_id("m-9")}},
+        instance_list_request{{17, UINT64_MAX}},
     };
 }
 
--- a/Libraries/platform/include/siskinwharf/platform/http_platform.h
+++ b/Libraries/platform/include/siskinwharf/platform/http_platform.h
@@ -31,12 +31,13 @@
     platform_access m_access;
 };
 
-/// Instance list over HTTP and JSON. Used from the thread of its executor.
+/// Instance list over HTTP and JSON, with conditional requests (RFC 9110, section 13): the tag is the entity
+/// tag of the answer. Used from the thread of its executor.
 class http_instance_list final : public instance_list {
 public:
     http_instance_list(http::client& client, platform_access access);
 
-    boost::asio::awaitable<list_result> read() override;
+    boost::asio::awaitable<list_result> read(std::string known) override;
 
 private:
     http::client& m_client;
--- a/Libraries/platform/include/siskinwharf/platform/instance_list.h
+++ b/Libraries/platform/include/siskinwharf/platform/instance_list.h
@@ -61,7 +61,20 @@
     auto operator<=>(const list_unavailable&) const = default;
 };
 
-using list_result = std::variant<std::vector<instance_record>, list_unavailable>;
+/// The list is still the one that the caller named by its tag.
+struct list_unchanged {
+    auto operator<=>(const list_unchanged&) const = default;
+};
+
+/// The whole list and the platform's tag for it, which is empty if the platform gives none.
+struct listed_instances {
+    std::vector<instance_record> records;
+    std::string tag;
+
+    auto operator<=>(const listed_instances&) const = default;
+};
+
+using list_result = std::variant<listed_instances, list_unchanged, list_unavailable>;
 
 /// Port to the platform's list of live and leaving instances.
 class instance_list {
@@ -73,7 +86,8 @@
     instance_list& operator=(instance_list&&) = delete;
     virtual ~instance_list() = default;
 
-    virtual boost::asio::awaitable<list_result> read() = 0;
+    /// Reads the list unless it is still the one that has the tag `known`; an empty tag reads it always.
+    virtual boost::asio::awaitable<list_result> read(std::string known) = 0;
 };
 
 } // namespace siskinwharf::platform
--- a/Libraries/platform/src/http_instance_list.cpp
+++ b/Libraries/platform/src/http_instance_list.cpp
@@ -10,15 +10,20 @@
 {
 }
 
-boost::asio::awaitable<list_result> http_instance_list::read()
+boost::asio::awaitable<list_result> http_instance_list::read(std::string known)
 {
     http::request message{"GET", "/instances", "", {}, ""};
     message.headers.push_back({"Siskinwharf-Instance", m_access.instance});
+    if (!known.empty())
+        message.headers.push_back({"If-None-Match", std::move(known)});
     try {
         const auto answer = co_await m_client.call(m_access.target, std::move(message), m_access.timeout);
+        if (answer.status == 304)
+            co_return list_unchanged{};
         if (answer.status != 200)
             co_return list_unavailable{};
-        co_return decode_instances(answer.body);
+        const auto tag = answer.find_header("ETag");
+        co_return listed_instances{decode_instances(answer.body), std::string(tag.value_or(""))};
     } catch (const http::call_error&) {
         co_return list_unavailable{};
     } catch (const std::exception&) {
--- a/Libraries/platform/tests/platform_test.cpp
+++ b/Libraries/platform/tests/platform_test.cpp
@@ -123,4 +123,62 @@
     }
 }
 
+namespace {
+
+/// What `http_instance_list` makes of one answer, and the condition that it sent.
+struct list_exchange {
+    list_result result;
+    std::string condition;
+};
+
+list_exchange read_against(const http::response& script, const std::string& known)
+{
+    asio::io_context context;
+    list_exchange exchange;
+    http::server front(context, {"127.0.0.1", 0}, {},
+                       [&](http::request message, http::response_writer& writer) -> asio::awaitable<void> {
+                           exchange.condition = message.find_header("If-None-Match").value_or("none");
+                           auto answer = script;
+                           co_await writer.send(std::move(answer));
+                       });
+    front.start();
+    http::client client(context.get_executor());
+    http_instance_list list(client, {{"127.0.0.1", front.port()}, "test", milliseconds(5'000)});
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            std::string tag = known;
+            exchange.result = co_await list.read(std::move(tag));
+        },
+        [&](const std::exception_ptr&) { context.stop(); });
+    context.run();
+    return exchange;
+}
+
+} // namespace
+
+TEST_CASE("the instance list is read on condition of its tag, and whole from a platform that gives none")
+{
+    const std::string body = R"({"instances":[{"id":"m-1","kind":"entry","port":9}]})";
+    const std::string tag = "W/\"17\"";
+
+    const auto first = read_against({200, {{"ETag", tag}}, body}, "");
+    CHECK(first.condition == "none");
+    REQUIRE(std::holds_alternative<listed_instances>(first.result));
+    CHECK(std::get<listed_instances>(first.result).tag == tag);
+    CHECK(std::get<listed_instances>(first.result).records.size() == 1);
+
+    const auto unchanged = read_against({304, {{"ETag", tag}}, ""}, tag);
+    CHECK(unchanged.condition == tag);
+    CHECK((unchanged.result == list_result(list_unchanged{})));
+
+    // A platform may ignore the condition.
+    const auto untagged = read_against({200, {}, body}, tag);
+    REQUIRE(std::holds_alternative<listed_instances>(untagged.result));
+    CHECK(std::get<listed_instances>(untagged.result).tag.empty());
+
+    CHECK((read_against({500, {}, "{}"}, tag).result == list_result(list_unavailable{})));
+    CHECK((read_against({200, {{"ETag", tag}}, "{"}, "").result == list_result(list_unavailable{})));
+}
+
 } // namespace siskinwharf::platform
--- a/Services/siskinwharfd/src/admin_api.cpp
+++ b/Services/siskinwharfd/src/admin_api.cpp
@@ -75,6 +75,14 @@
     body["active_requests"] = co_await m_count_active();
     body["waiting_requests"] = m_core.gate.waiting();
     body["quarantine_entries"] = m_core.quarantine.size();
+    body["instance_list_version"] = m_core.instance_list_version.load();
+    body["reads_instance_list"] = m_core.reads_instance_list.load();
+    if (m_core.peer_counters) {
+        const auto counters = m_core.peer_counters();
+        body["peer_bytes"] = {
+            {"sent", counters.datagram_bytes_sent + counters.stream_bytes_sent},
+            {"received", counters.datagram_bytes_received + counters.stream_bytes_received}};
+    }
     co_return boost::json::serialize(body);
 }
 
--- a/Services/siskinwharfd/src/entry_core.h
+++ b/Services/siskinwharfd/src/entry_core.h
@@ -14,6 +14,7 @@
 #include "siskinwharf/admission/retry_budget.h"
 #include "siskinwharf/base/time.h"
 #include "siskinwharf/http/message.h"
+#include "siskinwharf/peer/transport_options.h"
 #include "siskinwharf/routing/router.h"
 #include "siskinwharf/routing/routing_table.h"
 #include "siskinwharf/settings/settings.h"
@@ -58,6 +59,9 @@
     std::atomic<bool> stopping{false};
     /// The instance list was read at least once.
     std::atomic<bool> endpoints_known{false};
+    /// Version of the instance list here, and whether this process reads it for its failure domain.
+    std::atomic<std::uint64_t> instance_list_version{0};
+    std::atomic<bool> reads_instance_list{false};
     /// Reports what a request found out about an endpoint to the control thread.
     std::function<void(const endpoint_id&, endpoint_report)> report_endpoint;
     /// Sends new entries of the quarantine to the other entry processes of the failure domain. Called on the
@@ -68,6 +72,8 @@
     /// Finds the caller address of the peer that holds a request, named `<account>:<request id>`. May be
     /// awaited from any thread.
     std::function<boost::asio::awaitable<std::optional<http::address>>(request_id)> find_holder;
+    /// Bytes exchanged with other entry processes. To be called on the control thread.
+    std::function<peer::transport_counters()> peer_counters;
     /// Numbers attempts and requests of this process.
     std::atomic<std::uint64_t> next_number{1};
 
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -62,7 +62,7 @@
               platform::platform_access{{m_core.settings.platform.ip, m_core.settings.platform.port},
                                         m_core.settings.instance.value()}),
       m_committer(m_control, m_table),
-      m_platform(m_control, m_core, m_client, make_observer()),
+      m_platform(m_control, m_core, m_client, make_instance_feed_ports(), make_observer()),
       m_peers(std::make_shared<peer_node>(m_control, m_core, m_client, m_committer, make_peer_callbacks())),
       m_control_loop(
           m_control, m_core, m_table, m_client,
@@ -96,6 +96,9 @@
     m_core.find_holder = [this](request_id id) {
         return find_holder(std::move(id));
     };
+    m_core.peer_counters = [this] {
+        return m_peers->counters();
+    };
     m_core.report_endpoint = [this](const endpoint_id& endpoint, endpoint_report report) {
         asio::post(m_control, [this, endpoint, report] { m_platform.report(endpoint, report); });
     };
@@ -124,6 +127,21 @@
     return result;
 }
 
+instance_feed_ports entry_process::make_instance_feed_ports()
+{
+    instance_feed_ports result;
+    result.members = [this] {
+        return m_peers->working_members();
+    };
+    result.share = [this](const peer::instance_changes& changes) {
+        m_peers->share(changes);
+    };
+    result.fetch = [this](std::optional<membership::member_info> from, peer::instance_list_request wanted) {
+        return m_peers->fetch_instances(std::move(from), std::move(wanted));
+    };
+    return result;
+}
+
 peer_callbacks entry_process::make_peer_callbacks()
 {
     peer_callbacks result;
@@ -136,6 +154,13 @@
     result.departed = [this] {
         return m_platform.departed();
     };
+    result.on_instance_changes = [this](const instance_id& sender, const peer::address& from,
+                                        const peer::instance_changes& changes) {
+        m_platform.instances().receive(sender, from, changes);
+    };
+    result.instance_list = [this](const peer::instance_list_request& request) {
+        return m_platform.instances().reply(request);
+    };
     result.locate = [this](request_id id) {
         return locate_here(std::move(id));
     };
--- a/Services/siskinwharfd/src/entry_process.h
+++ b/Services/siskinwharfd/src/entry_process.h
@@ -36,6 +36,7 @@
 private:
     [[nodiscard]] platform_sync::observer make_observer();
     [[nodiscard]] peer_callbacks make_peer_callbacks();
+    [[nodiscard]] instance_feed_ports make_instance_feed_ports();
     boost::asio::awaitable<claims::holder_reply>
     ask_holder(std::string holder, claims::claim_identity identity, claims::attempt_number attempt);
     boost::asio::awaitable<peer::locate_state> locate_here(request_id id);
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -21,6 +21,8 @@
 
 constexpr milliseconds request_timeout{1'000};
 constexpr milliseconds handover_timeout{2'000};
+/// The whole list at full size has about 300 KB.
+constexpr milliseconds instance_list_timeout{2'000};
 constexpr milliseconds load_poll_period{500};
 constexpr milliseconds load_poll_timeout{1'000};
 
@@ -267,6 +269,10 @@
         apply_loads(*loads);
         return;
     }
+    if (auto* changes = std::get_if<peer::instance_changes>(&datagram.body)) {
+        m_callbacks.on_instance_changes(datagram.sender, from, std::move(*changes));
+        return;
+    }
     carry_out(m_members.receive(now(), m_random, datagram.sender, from, datagram.body));
 }
 
@@ -277,6 +283,8 @@
         const bool has_it = current && (wanted->version == 0 || wanted->version <= current->version);
         co_return has_it ? peer::sheet_reply{current->version, current->text} : peer::sheet_reply{};
     }
+    if (const auto* wanted = std::get_if<peer::instance_list_request>(&request.body))
+        co_return m_callbacks.instance_list(*wanted);
     if (const auto* sought = std::get_if<peer::locate_request>(&request.body)) {
         const auto state = co_await m_callbacks.locate(sought->request);
         const auto holder = state == peer::locate_state::unknown ? instance_id{} : m_core.settings.instance;
@@ -312,6 +320,37 @@
     co_return answer;
 }
 
+void peer_node::share(const peer::instance_changes& changes)
+{
+    for (const auto& member : working_peers()) {
+        if (!m_transport->send(member.member, member.contact, changes))
+            continue;
+        // Too long for a datagram: without a base the recipient sees that it misses something and fetches it.
+        peer::instance_changes news;
+        news.version = changes.version;
+        news.digest = changes.digest;
+        m_transport->send(member.member, member.contact, news);
+    }
+}
+
+asio::awaitable<std::optional<peer::instance_changes>>
+peer_node::fetch_instances(std::optional<membership::member_info> from, peer::instance_list_request wanted)
+{
+    const auto peers = working_peers();
+    if (!from && !peers.empty())
+        from = peers[m_random() % peers.size()];
+    if (!from)
+        co_return std::nullopt;
+    peer::message body = wanted;
+    auto result =
+        co_await m_transport->request(from->member, from->contact, std::move(body), instance_list_timeout);
+    auto* answer = std::get_if<peer::message>(&result);
+    auto* reply = answer != nullptr ? std::get_if<peer::instance_changes>(answer) : nullptr;
+    if (reply == nullptr)
+        co_return std::nullopt;
+    co_return std::move(*reply);
+}
+
 asio::awaitable<std::optional<instance_id>> peer_node::locate(request_id request)
 {
     for (const auto& member : working_peers()) {
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -25,6 +25,9 @@
     std::function<void(const std::vector<peer::endpoint_notice>&)> on_notices;
     std::function<void(const endpoint_id&, bool answered)> on_probe;
     std::function<std::vector<peer::endpoint_notice>()> departed;
+    std::function<void(const instance_id& sender, const peer::address& from, peer::instance_changes)>
+        on_instance_changes;
+    std::function<peer::instance_changes(const peer::instance_list_request&)> instance_list;
     std::function<boost::asio::awaitable<peer::locate_state>(request_id)> locate;
     std::function<boost::asio::awaitable<bool>(peer::request_record)> adopt;
 };
@@ -46,6 +49,12 @@
     void announce(const std::vector<peer::endpoint_notice>& notices);
     void relay(const std::vector<peer::endpoint_notice>& notices);
 
+    /// Tells all working members what changed in the instance list.
+    void share(const peer::instance_changes& changes);
+    /// Asks a member for what changed in the instance list; a random one if none is given.
+    boost::asio::awaitable<std::optional<peer::instance_changes>>
+    fetch_instances(std::optional<membership::member_info> from, peer::instance_list_request wanted);
+
     /// The member that holds a request, if any of them does.
     boost::asio::awaitable<std::optional<instance_id>> locate(request_id request);
     /// Hands a request to one member after another until one accepts it.
@@ -54,6 +63,7 @@
     boost::asio::awaitable<claims::holder_reply>
     query_claim(std::string holder, claims::claim_identity identity, claims::attempt_number attempt);
     [[nodiscard]] std::vector<membership::member_info> members() const { return m_members.members(); }
+    [[nodiscard]] std::vector<instance_id> working_members() const { return m_members.working_members(); }
     [[nodiscard]] peer::transport_counters counters() const;
 
     void receive(peer::frame datagram, peer::address from) override;
--- a/Services/siskinwharfd/src/platform_sync.cpp
+++ b/Services/siskinwharfd/src/platform_sync.cpp
@@ -19,7 +19,6 @@
 
 namespace {
 
-constexpr milliseconds instance_poll_period{500};
 constexpr std::uint64_t seconds_per_hour = 3600;
 /// Time until a leaving endpoint is gone where nobody has said it. The shortest notice of the cloud API is
 /// seconds.
@@ -86,19 +85,20 @@
 } // namespace
 
 platform_sync::platform_sync(asio::io_context& context, entry_core& core, http::client& client,
-                             observer watcher)
+                             instance_feed_ports peers, observer watcher)
     : m_context(context),
       m_core(core),
       m_observer(std::move(watcher)),
       m_table(client, access_of(core.settings)),
-      m_instances(client, access_of(core.settings))
+      m_instances(context, core, client, std::move(peers),
+                  [this](const std::vector<platform::instance_record>& records) { apply_instances(records); })
 {
 }
 
 void platform_sync::start()
 {
     asio::co_spawn(m_context, poll_sheet(), asio::detached);
-    asio::co_spawn(m_context, poll_instances(), asio::detached);
+    m_instances.start();
 }
 
 void platform_sync::note_platform(bool answers)
@@ -145,19 +145,6 @@
     }
 }
 
-asio::awaitable<void> platform_sync::poll_instances()
-{
-    while (true) {
-        const auto result = co_await m_instances.read();
-        if (const auto* records = std::get_if<std::vector<platform::instance_record>>(&result)) {
-            apply_instances(*records);
-            m_core.endpoints_known.store(true, std::memory_order_relaxed);
-        }
-        const auto jitter = milliseconds(m_random() % 100);
-        co_await wait_until(now() + instance_poll_period + jitter);
-    }
-}
-
 void platform_sync::update_directory(const std::vector<platform::instance_record>& records)
 {
     std::vector<membership::listed_endpoint> listed;
@@ -225,6 +212,8 @@
 {
     std::map<endpoint_id, monotonic_time> leaving;
     for (const auto& [endpoint, state, source] : changes.events) {
+        // The routing table is corrected with the next list, which would not come while nothing else changes.
+        m_instances.request_list();
         if (state == peer::endpoint_state::live)
             continue;
         m_core.table.mark_leaving({endpoint});
--- a/Services/siskinwharfd/src/platform_sync.h
+++ b/Services/siskinwharfd/src/platform_sync.h
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "entry_core.h"
+#include "instance_feed.h"
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/membership/endpoint_directory.h"
 #include "siskinwharf/platform/http_platform.h"
@@ -24,7 +25,7 @@
     struct observer {
         /// Endpoints began to leave; each is gone at its time.
         std::function<void(std::map<endpoint_id, monotonic_time>)> on_leaving;
-        /// The instance list was read.
+        /// The instance list changed, or is handed out again.
         std::function<void(const std::vector<platform::instance_record>&)> on_instances;
         /// This process learned something about an endpoint that its peers should know at once.
         std::function<void(const std::vector<peer::endpoint_notice>&)> announce;
@@ -33,9 +34,11 @@
     };
 
     platform_sync(boost::asio::io_context& context, entry_core& core, http::client& client,
-                  observer observer);
+                  instance_feed_ports peers, observer observer);
 
     void start();
+    /// The instance list as this process shares it with its failure domain.
+    [[nodiscard]] instance_feed& instances() { return m_instances; }
     /// Takes in what a request found out. Must be called on the control thread.
     void report(const endpoint_id& endpoint, endpoint_report report);
     /// Takes in what peers know about endpoints.
@@ -49,7 +52,6 @@
 
 private:
     boost::asio::awaitable<void> poll_sheet();
-    boost::asio::awaitable<void> poll_instances();
     boost::asio::awaitable<bool> fetch_sheet();
     void apply_instances(const std::vector<platform::instance_record>& records);
     void note_platform(bool answers);
@@ -62,7 +64,7 @@
     entry_core& m_core;
     observer m_observer;
     platform::http_table_store m_table;
-    platform::http_instance_list m_instances;
+    instance_feed m_instances;
     std::mt19937_64 m_random{std::random_device{}()};
     bool m_platform_answers = true;
     membership::endpoint_directory m_directory;
--- a/Tests/standins/common/http_exchange.h
+++ b/Tests/standins/common/http_exchange.h
@@ -36,6 +36,7 @@
     unsigned status = 200;
     std::string body;
     std::string content_type = "application/json";
+    std::string entity_tag; ///< Value of the header `ETag`, which is left out if it is empty.
 };
 
 /// Malformed input of the caller; answered with status 400 and the message.
--- a/Tests/standins/common/http_server.cpp
+++ b/Tests/standins/common/http_server.cpp
@@ -199,6 +199,8 @@
     m_responded = true;
     http::response<http::string_body> message{static_cast<http::status>(response.status), 11};
     message.set(http::field::content_type, response.content_type);
+    if (!response.entity_tag.empty())
+        message.set(http::field::etag, response.entity_tag);
     message.body() = std::move(response.body);
     message.keep_alive(m_keep_alive);
     message.prepare_payload();
--- a/Tests/standins/platform/instance_registry.cpp
+++ b/Tests/standins/platform/instance_registry.cpp
@@ -3,7 +3,10 @@
 #include <algorithm>
 #include <array>
 
+#include <fmt/format.h>
+
 #include "json.h"
+#include "siskinwharf/base/hash.h"
 
 namespace siskinwharf::standins {
 
@@ -111,6 +114,19 @@
     return {{"instances", std::move(instances)}};
 }
 
+std::string instance_registry::tag(monotonic_time shown) const
+{
+    std::uint64_t digest = 0;
+    for (const auto& [id, versions] : m_instances) {
+        const version* entry = find_version(versions, shown);
+        if (entry == nullptr)
+            continue;
+        const auto since = static_cast<std::uint64_t>(entry->since.time_since_epoch().count());
+        digest += combine64(hash64(id), since);
+    }
+    return fmt::format("W/\"{:016x}\"", digest);
+}
+
 void instance_registry::prune(monotonic_time shown)
 {
     for (auto& [id, versions] : m_instances) {
--- a/Tests/standins/platform/instance_registry.h
+++ b/Tests/standins/platform/instance_registry.h
@@ -26,6 +26,8 @@
     [[nodiscard]] std::string failure_domain_of(const std::string& id, monotonic_time now) const;
     /// Body of `GET /instances` as of the time `shown`. Times until leaving count from `now`.
     [[nodiscard]] boost::json::object list(monotonic_time shown, monotonic_time now) const;
+    /// Entity tag of that body. It is a weak one, because the times until leaving do not change it.
+    [[nodiscard]] std::string tag(monotonic_time shown) const;
     /// Forgets what was overwritten before `shown`.
     void prune(monotonic_time shown);
 
--- a/Tests/standins/platform/main.cpp
+++ b/Tests/standins/platform/main.cpp
@@ -19,6 +19,7 @@
     line.add("reads-per-second", "limit of row and object reads, 0 for none", options.reads_per_second);
     line.add("table-ms", "time of a table or object operation", options.table_ms);
     line.add("list-lag-ms", "age of the instance list", options.list_lag_ms);
+    line.add("entity-tags", "1 for an ETag on the instance list, 0 for none", options.entity_tags);
     line.add("start-ms", "time until a cloud instance runs", options.start_ms);
     line.add("weights-per-minute", "limit of the weight store, 0 for none", options.weights_per_minute);
     line.add("failure-domains", "comma-separated, for the default offers", options.failure_domains);
--- a/Tests/standins/platform/platform_options.h
+++ b/Tests/standins/platform/platform_options.h
@@ -12,6 +12,7 @@
     double reads_per_second = 2000; ///< Rows and objects together.
     std::int64_t table_ms = 2;      ///< Time of one table or object operation.
     std::int64_t list_lag_ms = 1000;
+    std::int64_t entity_tags = 1; ///< 0 for a platform without conditional reads of the instance list.
     std::int64_t start_ms = 3000; ///< How long a cloud instance is `starting`.
     double weights_per_minute = 60;
     std::string failure_domains = "domain-1,domain-2,domain-3"; ///< Those with offers of the cloud API.
--- a/Tests/standins/platform/platform_service.cpp
+++ b/Tests/standins/platform/platform_service.cpp
@@ -191,7 +191,7 @@
     const monotonic_time shown = m_list_frozen.value_or(now()) - milliseconds(m_options.list_lag_ms);
     m_instances.prune(shown);
     if (request.matches("GET", "/instances"))
-        return json_response(200, m_instances.list(shown, now()));
+        return read_instances(request, shown);
     if (request.matches("PUT", "/instances/*")) {
         m_instances.put(request.segments[1], parse_object(request.body), now());
         return flag_response("stored");
@@ -205,6 +205,20 @@
     return error_response(404, "not_found");
 }
 
+http_response platform_service::read_instances(const http_request& request, monotonic_time shown)
+{
+    std::string tag = m_options.entity_tags != 0 ? m_instances.tag(shown) : std::string{};
+    const bool unchanged = !tag.empty() && request.header("if-none-match") == tag;
+    ++m_counts[unchanged ? "list_reads_unchanged" : "list_reads"];
+    http_response response;
+    if (unchanged)
+        response.status = 304;
+    else
+        response = json_response(200, m_instances.list(shown, now()));
+    response.entity_tag = std::move(tag);
+    return response;
+}
+
 http_response platform_service::access_cloud(const http_request& request)
 {
     if (request.matches("GET", "/cloud/offers"))
--- a/Tests/standins/platform/platform_service.h
+++ b/Tests/standins/platform/platform_service.h
@@ -37,6 +37,7 @@
     [[nodiscard]] http_response read_row(const http_request& request);
     [[nodiscard]] http_response access_object(const http_request& request);
     [[nodiscard]] http_response access_instances(const http_request& request);
+    [[nodiscard]] http_response read_instances(const http_request& request, monotonic_time shown);
     [[nodiscard]] http_response access_cloud(const http_request& request);
     [[nodiscard]] http_response read_weights(const http_request& request);
     [[nodiscard]] http_response reclaim(const boost::json::object& body);
--- a/Tests/standins/tests/platform_contract_test.cpp
+++ b/Tests/standins/tests/platform_contract_test.cpp
@@ -56,6 +56,37 @@
     CHECK(client.request("GET", "/table/row?key=%6b").body == R"({"key":"k","value":"v","version":1})");
 }
 
+TEST_CASE(
+    "the instance list is sent again only after a change, so that conditional readers are tested for real")
+{
+    const char* engine = R"({"kind":"engine","port":9})";
+    const running_platform platform(fast_options());
+    test_client client(platform.port());
+    client.request("PUT", "/instances/a", engine);
+    const test_answer first = client.request("GET", "/instances");
+    REQUIRE(first.status == 200);
+    REQUIRE_FALSE(first.entity_tag.empty());
+
+    client.set_header("If-None-Match", first.entity_tag);
+    const test_answer unchanged = client.request("GET", "/instances");
+    CHECK(unchanged.status == 304);
+    CHECK(unchanged.body.empty());
+    client.request("POST", "/instances/a/leave", R"({"in_ms":60000})");
+    const test_answer leaving = client.request("GET", "/instances");
+    CHECK(leaving.status == 200);
+    CHECK(leaving.entity_tag != first.entity_tag);
+    CHECK(leaving.json().at("instances").at(0).at("state") == "leaving");
+
+    platform_options without_tags = fast_options();
+    without_tags.entity_tags = 0;
+    const running_platform plain(without_tags);
+    test_client plain_client(plain.port());
+    plain_client.set_header("If-None-Match", "\"\"");
+    const test_answer whole = plain_client.request("GET", "/instances");
+    CHECK(whole.status == 200);
+    CHECK(whole.entity_tag.empty());
+}
+
 TEST_CASE("a table fault shows as a refused, lost or late write")
 {
     struct fault_case {
--- a/Tests/standins/tests/test_client.cpp
+++ b/Tests/standins/tests/test_client.cpp
@@ -58,6 +58,7 @@
     boost::system::error_code error;
     http::read(m_state->socket, m_state->buffer, *m_state->parser, error);
     answer.body = m_state->parser->get().body();
+    answer.entity_tag = m_state->parser->get()[http::field::etag];
     return answer;
 }
 
--- a/Tests/standins/tests/test_client.h
+++ b/Tests/standins/tests/test_client.h
@@ -14,6 +14,7 @@
 struct test_answer {
     unsigned status = 0;
     std::string body;
+    std::string entity_tag;
 
     [[nodiscard]] boost::json::object json() const { return boost::json::parse(body).as_object(); }
 };
