Services: Poll loads every second and send only changed digests

Cause: loads were polled every 0.5 s, twice what the design says, and each poll was sent to every member. With 30 members that was 14.8 KB/s both ways (docs/CAPACITY.md).

membership::load_changes chooses the digests whose load differs from what was sent last; each is repeated after 10 s for members that joined later or lost a datagram. A receiver applies the last digest again each second while its poller is heard (membership::load_repeats): own streams may end while others take their place, so the sum that the engine reports stays the same and a receiver would take the endpoint for emptier than it is.

Ruled out: a threshold for changes, which would hide the last free slots of a full engine.

A dead engine that no request meets is now seen after 3 s instead of 1.5 s.

--- /dev/null
+++ b/Libraries/membership/src/load_changes.cpp
@@ -0,0 +1,62 @@
+#include "siskinwharf/membership/load_changes.h"
+
+#include <utility>
+
+namespace siskinwharf::membership {
+
+namespace {
+
+/// Repeats between two digests are at most the repeat period divided by the poll period, which fit.
+constexpr unsigned repeat_bits = 8;
+
+} // namespace
+
+std::vector<peer::load_digest> load_changes::select(monotonic_time now,
+                                                    const std::vector<peer::load_digest>& polled)
+{
+    std::vector<peer::load_digest> result;
+    std::map<std::uint32_t, sent_digest> sent;
+    for (const auto& digest : polled) {
+        const auto known = m_sent.find(digest.endpoint_key);
+        const bool repeats = known != m_sent.end() && known->second.digest.in_flight == digest.in_flight &&
+                             known->second.digest.free_slots == digest.free_slots &&
+                             now < known->second.sent_at + load_repeat_period;
+        if (repeats) {
+            sent.insert(*known);
+            continue;
+        }
+        sent.insert_or_assign(digest.endpoint_key, sent_digest{digest, now});
+        result.push_back(digest);
+    }
+    m_sent = std::move(sent);
+    return result;
+}
+
+numbered_load number_load(const peer::load_digest& digest)
+{
+    return {digest, std::uint64_t{digest.sequence} << repeat_bits};
+}
+
+numbered_load load_repeats::receive(monotonic_time now, const peer::load_digest& digest)
+{
+    const auto load = number_load(digest);
+    m_received.insert_or_assign(digest.endpoint_key, received_digest{load, now});
+    return load;
+}
+
+std::vector<numbered_load> load_repeats::due(monotonic_time now)
+{
+    std::erase_if(m_received, [now](const auto& entry) {
+        return now > entry.second.received_at + load_repeat_period + 2 * load_poll_period;
+    });
+    std::vector<numbered_load> result;
+    for (auto& [key, received] : m_received) {
+        if (now < received.received_at + load_poll_period)
+            continue;
+        ++received.load.sequence;
+        result.push_back(received.load);
+    }
+    return result;
+}
+
+} // namespace siskinwharf::membership
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -23,7 +23,6 @@
 constexpr milliseconds handover_timeout{2'000};
 /// The whole list at full size has about 300 KB.
 constexpr milliseconds instance_list_timeout{2'000};
-constexpr milliseconds load_poll_period{500};
 constexpr milliseconds load_poll_timeout{1'000};
 
 peer::address contact_of(const settings::socket_address& address)
@@ -196,12 +195,14 @@
                                                          m_members.working_members(), own_endpoints());
         for (const auto& endpoint : polled)
             asio::co_spawn(m_control, poll_load(endpoint, digest), asio::detached);
-        timer.expires_after(load_poll_period);
+        timer.expires_after(membership::load_poll_period);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-        if (digest->loads.empty())
+        apply_loads(m_load_repeats.due(now()));
+        const peer::load_report report{m_load_changes.select(now(), digest->loads)};
+        if (report.loads.empty())
             continue;
         for (const auto& member : working_peers())
-            m_transport->send(member.member, member.contact, *digest);
+            m_transport->send(member.member, member.contact, report);
     }
 }
 
@@ -226,30 +227,30 @@
         entry.free_slots = number_of(load, "free");
         entry.sequence = number_of(load, "sequence");
         digest->loads.push_back(entry);
-        apply_load(endpoint, entry);
+        apply_load(endpoint, membership::number_load(entry));
     } catch (const http::call_error&) {
         m_callbacks.on_probe(endpoint, false);
     }
 }
 
-void peer_node::apply_loads(const peer::load_report& report)
+void peer_node::apply_loads(const std::vector<membership::numbered_load>& loads)
 {
     std::map<std::uint32_t, std::vector<endpoint_id>> by_key;
     for (const auto& endpoint : own_endpoints())
         by_key[peer::endpoint_key(endpoint)].push_back(endpoint);
-    for (const auto& load : report.loads) {
-        const auto found = by_key.find(load.endpoint_key);
+    for (const auto& load : loads) {
+        const auto found = by_key.find(load.digest.endpoint_key);
         if (found != by_key.end() && found->second.size() == 1)
             apply_load(found->second.front(), load);
     }
 }
 
-void peer_node::apply_load(const endpoint_id& endpoint, const peer::load_digest& load)
+void peer_node::apply_load(const endpoint_id& endpoint, const membership::numbered_load& load)
 {
     routing::load_report report;
     report.sequence = load.sequence;
     report.measured_at = now();
-    report.streams = load.in_flight;
+    report.streams = load.digest.in_flight;
     m_core.table.apply_report(endpoint, report, report.measured_at);
 }
 
@@ -266,7 +267,10 @@
 void peer_node::receive(peer::frame datagram, peer::address from)
 {
     if (const auto* loads = std::get_if<peer::load_report>(&datagram.body)) {
-        apply_loads(*loads);
+        std::vector<membership::numbered_load> numbered;
+        for (const auto& load : loads->loads)
+            numbered.push_back(m_load_repeats.receive(now(), load));
+        apply_loads(numbered);
         return;
     }
     if (auto* changes = std::get_if<peer::instance_changes>(&datagram.body)) {
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -14,6 +14,7 @@
 #include "claim_committer.h"
 #include "entry_core.h"
 #include "siskinwharf/http/client.h"
+#include "siskinwharf/membership/load_changes.h"
 #include "siskinwharf/membership/member_table.h"
 #include "siskinwharf/peer/peer_transport.h"
 #include "siskinwharf/platform/instance_list.h"
@@ -76,8 +77,8 @@
     boost::asio::awaitable<void> fetch_sheet(membership::member_table::known_sheet known);
     boost::asio::awaitable<void> exchange(membership::outgoing_message message);
     void carry_out(membership::member_output output);
-    void apply_loads(const peer::load_report& report);
-    void apply_load(const endpoint_id& endpoint, const peer::load_digest& load);
+    void apply_loads(const std::vector<membership::numbered_load>& loads);
+    void apply_load(const endpoint_id& endpoint, const membership::numbered_load& load);
     [[nodiscard]] std::vector<membership::member_info> working_peers() const;
     [[nodiscard]] std::vector<endpoint_id> own_endpoints() const;
 
@@ -88,6 +89,8 @@
     peer_callbacks m_callbacks;
     std::mt19937_64 m_random{std::random_device{}()};
     membership::member_table m_members;
+    membership::load_changes m_load_changes;
+    membership::load_repeats m_load_repeats;
     std::unique_ptr<peer::peer_transport> m_transport;
     bool m_fetching_sheet = false;
 };
