Services: Write the release of the lease before a planned stop ends

Cause: the release was begun by the next step of the control loop, up to 100 ms after the stop began. A process without requests in flight had ended by then, and its successor waited 14 s for the lease to run out.

The end of a planned stop now awaits control_loop::release, for at most 1.5 s if the table does not answer. Ruled out: releasing in the destructor, which cannot wait for the table, and stopping the loop's own step, which may have a table operation in flight that the release has to follow.

The fake table of control_loop_fakes.h now counts its commits.

--- a/Services/siskinwharfd/src/control_loop.cpp
+++ b/Services/siskinwharfd/src/control_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <exception>
 #include <random>
+#include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -20,6 +21,7 @@
 namespace {
 
 constexpr milliseconds step_period{100};
+constexpr milliseconds release_poll_period{20};
 constexpr seconds capacity_period{5};
 /// A leaving endpoint must get no new work 2 s after the notice.
 constexpr milliseconds notice_period{500};
@@ -92,10 +94,8 @@
 
 asio::awaitable<void> control_loop::step()
 {
-    if (m_core.stopping && !m_is_releasing) {
-        m_is_releasing = true;
-        m_lease.release();
-    }
+    if (m_core.stopping)
+        begin_release();
     co_await run_lease();
     note_lease();
     const auto fencing = m_lease.fencing();
@@ -110,6 +110,29 @@
     start_capacity(*fencing);
 }
 
+void control_loop::begin_release()
+{
+    if (std::exchange(m_is_releasing, true))
+        return;
+    m_lease.release();
+}
+
+asio::awaitable<void> control_loop::release(milliseconds limit)
+{
+    begin_release();
+    const auto give_up_at = m_ports.clock() + limit;
+    asio::steady_timer timer(m_context);
+    while (m_lease.fencing() && m_ports.clock() < give_up_at) {
+        co_await run_lease();
+        if (!m_lease.fencing())
+            break;
+        // A table operation of `step` is still running, or the table did not answer.
+        timer.expires_after(release_poll_period);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    note_lease();
+}
+
 asio::awaitable<void> control_loop::run_lease()
 {
     while (true) {
--- a/Services/siskinwharfd/src/control_loop.h
+++ b/Services/siskinwharfd/src/control_loop.h
@@ -47,6 +47,9 @@
     /// Does what is due: brings the lease up to date, then starts due orders, plans and reads, which may
     /// still run when this returns.
     boost::asio::awaitable<void> step();
+    /// Gives the lease up and returns once the release is written, or after the time, or at once if this
+    /// process does not hold the lease. `step` may run meanwhile. For the end of the process.
+    boost::asio::awaitable<void> release(milliseconds limit);
     /// Fencing token while this process may give orders.
     [[nodiscard]] std::optional<std::uint64_t> fencing() const;
 
@@ -56,6 +59,7 @@
     boost::asio::awaitable<void> execute(control::send_order order, http::address target);
     boost::asio::awaitable<void> execute(control::read_back query, http::address target);
     boost::asio::awaitable<void> read_notices();
+    void begin_release();
     void note_lease();
     void assign_orders();
     void start_orders();
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -23,6 +23,8 @@
 /// Time before the end of a reclaimed instance at which its requests are handed over.
 constexpr milliseconds handover_margin{1'500};
 constexpr milliseconds last_writes_time{500};
+/// A table operation that is running may take its whole timeout of 1 s before the release can be sent.
+constexpr milliseconds release_time{1'500};
 constexpr milliseconds readiness_poll_period{20};
 
 routing::routing_policy policy_of(settings::routing_policy policy)
@@ -228,6 +230,8 @@
     co_await hand_over_requests();
     // Callers whose connection was to end get that end before the process does.
     co_await drain(now() + last_writes_time);
+    // Without the release the next holder waits for the lease to run out, 14 s instead of 4 s.
+    co_await m_control_loop.release(release_time);
     m_peers->stop();
     m_control.stop();
 }
--- a/Services/siskinwharfd/tests/control_loop_fakes.cpp
+++ b/Services/siskinwharfd/tests/control_loop_fakes.cpp
@@ -106,6 +106,19 @@
         std::rethrow_exception(failure);
 }
 
+void loop_fixture::release(milliseconds limit)
+{
+    std::exception_ptr failure;
+    boost::asio::co_spawn(m_context, loop->release(limit),
+                          [&](const std::exception_ptr& error) { failure = error; });
+    m_context.restart();
+    // Virtual time stands still while tasks run; each turn of the loop is 100 ms of it.
+    while (m_context.run_one() != 0)
+        time += milliseconds(100);
+    if (failure)
+        std::rethrow_exception(failure);
+}
+
 void loop_fixture::run_for(nanoseconds duration)
 {
     for (const auto end = time + duration; time < end; time += milliseconds(100))
--- a/Services/siskinwharfd/tests/control_loop_fakes.h
+++ b/Services/siskinwharfd/tests/control_loop_fakes.h
@@ -30,6 +30,7 @@
 
     boost::asio::awaitable<platform::commit_result> commit(platform::table_transaction transaction) override
     {
+        ++commits;
         const auto current = std::exchange(next, next == fault::down ? fault::down : fault::none);
         if (current == fault::down)
             co_return platform::table_unavailable{};
@@ -57,6 +58,7 @@
     }
     void put(const std::string& value) { row = {"lease/d1", value, row ? row->version + 1 : 1}; }
 
+    std::size_t commits = 0;
     std::optional<platform::table_row> row;
     fault next = fault::none;
 };
@@ -85,6 +87,8 @@
     explicit loop_fixture(const std::string& fencing = "checked");
 
     void step();
+    /// Waits for the release of the lease for at most this virtual time.
+    void release(milliseconds limit);
     /// Steps every 100 ms of virtual time.
     void run_for(nanoseconds duration);
     /// Another process takes the lease over.
--- a/Services/siskinwharfd/tests/control_loop_test.cpp
+++ b/Services/siskinwharfd/tests/control_loop_test.cpp
@@ -152,6 +152,35 @@
     }
 }
 
+TEST_CASE("the lease is released before a planned stop ends, without any further step of the loop")
+{
+    // Guards against a process that ends first: its successor would wait for the lease to run out.
+    loop_fixture fixture;
+    fixture.run_for(seconds(5));
+    REQUIRE(fixture.loop->fencing());
+    fixture.release(seconds(10));
+    CHECK_FALSE(fixture.loop->fencing());
+    REQUIRE(fixture.table.row);
+    const auto record = control::decode_lease_record(fixture.table.row->value);
+    REQUIRE(record);
+    CHECK(record->holder.empty());
+    // A second call, or one of a process that does not hold the lease, writes nothing and does not wait.
+    const auto commits = fixture.table.commits;
+    const auto before = fixture.time;
+    fixture.release(seconds(10));
+    CHECK(fixture.table.commits == commits);
+    CHECK(fixture.time - before <= milliseconds(200));
+}
+
+TEST_CASE("a planned stop does not wait for a table that is away")
+{
+    loop_fixture fixture;
+    fixture.run_for(seconds(5));
+    fixture.table.next = fake_table::fault::down;
+    fixture.release(milliseconds(1'500));
+    CHECK(fixture.time < monotonic_time(seconds(1'008)));
+}
+
 TEST_CASE("a start with an unknown outcome is repeated with its client token")
 {
     // Guards against two instances for one missing replica.
