Services: Read the sheet soon when a peer cannot deliver a newer one

Cause: sheet::poll_schedule::expedite had no caller. A process whose peer announced a newer sheet and then did not deliver it (it died, or dropped the version) waited for the next poll, up to 2.2 s.

The peer node now reports a missed sheet once for each version, and the poll of the table is brought forward by poll_schedule::expedite, which has unit tests. Reporting each failed fetch was ruled out: the fetch is tried every 100 ms, which would have raised the polls to 10/s while the table lags. No test of whole processes covers it.

--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -156,6 +156,9 @@
     result.departed = [this] {
         return m_platform.departed();
     };
+    result.on_sheet_missed = [this] {
+        m_platform.expedite_sheet();
+    };
     result.on_instance_changes = [this](const instance_id& sender, const peer::address& from,
                                         const peer::instance_changes& changes) {
         m_platform.instances().receive(sender, from, changes);
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -164,8 +164,10 @@
     m_fetching_sheet = false;
     const auto* answer = std::get_if<peer::message>(&result);
     const auto* reply = answer != nullptr ? std::get_if<peer::sheet_reply>(answer) : nullptr;
-    if (reply == nullptr || reply->version == 0)
+    if (reply == nullptr || reply->version == 0) {
+        note_missed_sheet(known.version);
         co_return;
+    }
     const auto outcome = m_core.sheets.offer(reply->version, reply->text);
     if (outcome == sheet::offer_outcome::in_force)
         log_event(event::sheet_in_force,
@@ -174,6 +176,14 @@
         m_core.sheets.drop_wanted(reply->version);
 }
 
+void peer_node::note_missed_sheet(std::uint64_t version)
+{
+    if (version <= m_missed_sheet)
+        return;
+    m_missed_sheet = version;
+    m_callbacks.on_sheet_missed();
+}
+
 std::vector<endpoint_id> peer_node::own_endpoints() const
 {
     std::vector<endpoint_id> result;
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -26,6 +26,8 @@
     std::function<void(const std::vector<peer::endpoint_notice>&)> on_notices;
     std::function<void(const endpoint_id&, bool answered)> on_probe;
     std::function<std::vector<peer::endpoint_notice>()> departed;
+    /// A peer announced a newer sheet and did not deliver it. Called once for each version.
+    std::function<void()> on_sheet_missed;
     std::function<void(const instance_id& sender, const peer::address& from, peer::instance_changes)>
         on_instance_changes;
     std::function<peer::instance_changes(const peer::instance_list_request&)> instance_list;
@@ -92,7 +94,10 @@
     membership::load_changes m_load_changes;
     membership::load_repeats m_load_repeats;
     std::unique_ptr<peer::peer_transport> m_transport;
+    void note_missed_sheet(std::uint64_t version);
+
     bool m_fetching_sheet = false;
+    std::uint64_t m_missed_sheet = 0;
 };
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/platform_sync.cpp
+++ b/Services/siskinwharfd/src/platform_sync.cpp
@@ -5,11 +5,9 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "siskinwharf/base/event_log.h"
-#include "siskinwharf/sheet/poll_schedule.h"
 #include "siskinwharf/sheet/sheet_rows.h"
 #include "unix_time.h"
 
@@ -76,12 +74,6 @@
     return "unknown";
 }
 
-asio::awaitable<void> wait_until(monotonic_time time)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 } // namespace
 
 platform_sync::platform_sync(asio::io_context& context, entry_core& core, http::client& client,
@@ -90,8 +82,11 @@
       m_core(core),
       m_observer(std::move(watcher)),
       m_table(client, access_of(core.settings)),
-      m_instances(context, core, client, std::move(peers),
-                  [this](const std::vector<platform::instance_record>& records) { apply_instances(records); })
+      m_instances(
+          context, core, client, std::move(peers),
+          [this](const std::vector<platform::instance_record>& records) { apply_instances(records); }),
+      m_sheet_schedule(now()),
+      m_sheet_timer(context)
 {
 }
 
@@ -133,18 +128,27 @@
 
 asio::awaitable<void> platform_sync::poll_sheet()
 {
-    sheet::poll_schedule schedule(now());
     while (true) {
-        co_await wait_until(schedule.next());
+        // An earlier time may have been set during the wait.
+        while (now() < m_sheet_schedule.next()) {
+            m_sheet_timer.expires_at(m_sheet_schedule.next());
+            co_await m_sheet_timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
         const bool answers = co_await fetch_sheet();
         note_platform(answers);
         if (answers)
-            schedule.on_answer(now(), m_random());
+            m_sheet_schedule.on_answer(now(), m_random());
         else
-            schedule.on_no_answer(now(), m_random());
+            m_sheet_schedule.on_no_answer(now(), m_random());
     }
 }
 
+void platform_sync::expedite_sheet()
+{
+    m_sheet_schedule.expedite(now(), m_random());
+    m_sheet_timer.cancel();
+}
+
 void platform_sync::update_directory(const std::vector<platform::instance_record>& records)
 {
     std::vector<membership::listed_endpoint> listed;
--- a/Services/siskinwharfd/src/platform_sync.h
+++ b/Services/siskinwharfd/src/platform_sync.h
@@ -8,12 +8,14 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "entry_core.h"
 #include "instance_feed.h"
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/membership/endpoint_directory.h"
 #include "siskinwharf/platform/http_platform.h"
+#include "siskinwharf/sheet/poll_schedule.h"
 
 namespace siskinwharf::entry {
 
@@ -39,6 +41,8 @@
     void start();
     /// The instance list as this process shares it with its failure domain.
     [[nodiscard]] instance_feed& instances() { return m_instances; }
+    /// Reads the sheet soon, because a newer one was announced.
+    void expedite_sheet();
     /// Takes in what a request found out. Must be called on the control thread.
     void report(const endpoint_id& endpoint, endpoint_report report);
     /// Takes in what peers know about endpoints.
@@ -67,6 +71,8 @@
     instance_feed m_instances;
     std::mt19937_64 m_random{std::random_device{}()};
     bool m_platform_answers = true;
+    sheet::poll_schedule m_sheet_schedule;
+    boost::asio::steady_timer m_sheet_timer;
     membership::endpoint_directory m_directory;
     /// Endpoints in the routing table.
     std::set<endpoint_id> m_routed;
