Services: Exchange domain summaries between failure domains

Cause: membership::domain_summary_table and its messages existed, but the entry process neither sent nor answered them, so nobody knew the free capacity of other failure domains.

summary_exchange gives the table the models of the own failure domain with their healthy endpoints, free slots and lowest price, and exchanges it with one random process of another failure domain every 5 s. /status shows what is known. Routing does not use it: the reports of routing belong to one endpoint, and a sum over a failure domain is no substitute for them without a change of the policies.

--- a/Services/siskinwharfd/src/admin_api.cpp
+++ b/Services/siskinwharfd/src/admin_api.cpp
@@ -30,6 +30,23 @@
     return "unknown";
 }
 
+boost::json::array describe(const std::vector<peer::domain_summary>& summaries)
+{
+    boost::json::array result;
+    for (const auto& summary : summaries) {
+        for (const auto& row : summary.rows) {
+            result.push_back({{"failure_domain", summary.domain.value()},
+                              {"made_at_ms", summary.sequence},
+                              {"model", row.model.value()},
+                              {"version", row.version},
+                              {"healthy", row.healthy},
+                              {"free_slots", row.free_slots},
+                              {"price", row.price}});
+        }
+    }
+    return result;
+}
+
 std::string to_text(const routing::target& target)
 {
     if (const auto* model = std::get_if<routing::model_target>(&target))
@@ -83,6 +100,8 @@
             {"sent", counters.datagram_bytes_sent + counters.stream_bytes_sent},
             {"received", counters.datagram_bytes_received + counters.stream_bytes_received}};
     }
+    if (m_core.domain_summaries)
+        body["domain_summaries"] = describe(m_core.domain_summaries());
     co_return boost::json::serialize(body);
 }
 
--- a/Services/siskinwharfd/src/entry_core.h
+++ b/Services/siskinwharfd/src/entry_core.h
@@ -14,6 +14,7 @@
 #include "siskinwharf/admission/retry_budget.h"
 #include "siskinwharf/base/time.h"
 #include "siskinwharf/http/message.h"
+#include "siskinwharf/peer/messages.h"
 #include "siskinwharf/peer/transport_options.h"
 #include "siskinwharf/routing/router.h"
 #include "siskinwharf/routing/routing_table.h"
@@ -74,6 +75,8 @@
     std::function<boost::asio::awaitable<std::optional<http::address>>(request_id)> find_holder;
     /// Bytes exchanged with other entry processes. To be called on the control thread.
     std::function<peer::transport_counters()> peer_counters;
+    /// Capacity of the other failure domains. To be called on the control thread.
+    std::function<std::vector<peer::domain_summary>()> domain_summaries;
     /// Numbers attempts and requests of this process.
     std::atomic<std::uint64_t> next_number{1};
 
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -66,6 +66,8 @@
       m_committer(m_control, m_table),
       m_platform(m_control, m_core, m_client, make_instance_feed_ports(), make_observer()),
       m_peers(std::make_shared<peer_node>(m_control, m_core, m_client, m_committer, make_peer_callbacks())),
+      m_summaries(m_control, m_core,
+                  [this](membership::outgoing_message message) { return m_peers->ask(std::move(message)); }),
       m_control_loop(
           m_control, m_core, m_table, m_client,
           [this](const std::map<endpoint_id, monotonic_time>& gone_at) { m_platform.announce(gone_at); })
@@ -98,6 +100,9 @@
     m_core.find_holder = [this](request_id id) {
         return find_holder(std::move(id));
     };
+    m_core.domain_summaries = [this] {
+        return m_summaries.summaries();
+    };
     m_core.peer_counters = [this] {
         return m_peers->counters();
     };
@@ -118,6 +123,7 @@
     result.on_instances = [this](const std::vector<platform::instance_record>& records) {
         m_peers->apply_instances(records);
         m_control_loop.update(records);
+        m_summaries.update(records);
         note_entry_instances(records);
     };
     result.announce = [this](const std::vector<peer::endpoint_notice>& notices) {
@@ -166,6 +172,9 @@
     result.instance_list = [this](const peer::instance_list_request& request) {
         return m_platform.instances().reply(request);
     };
+    result.summaries = [this](const peer::summary_request& request) {
+        return m_summaries.reply(request);
+    };
     result.locate = [this](request_id id) {
         return locate_here(std::move(id));
     };
@@ -267,6 +276,7 @@
     }
     m_platform.start();
     m_control_loop.start();
+    m_summaries.start();
     m_committer.start();
     for (std::size_t index = 0; index < m_workers.size(); ++index) {
         m_servers[index]->start();
--- a/Services/siskinwharfd/src/entry_process.h
+++ b/Services/siskinwharfd/src/entry_process.h
@@ -15,6 +15,7 @@
 #include "peer_node.h"
 #include "platform_sync.h"
 #include "siskinwharf/http/server.h"
+#include "summary_exchange.h"
 #include "worker.h"
 
 namespace siskinwharf::entry {
@@ -62,6 +63,7 @@
     std::vector<std::unique_ptr<http::server>> m_servers;
     platform_sync m_platform;
     std::shared_ptr<peer_node> m_peers;
+    summary_exchange m_summaries;
     std::map<instance_id, http::address> m_entry_addresses;
     control_loop m_control_loop;
     admin_api m_admin_api{m_core, [this] {
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -299,6 +299,8 @@
     }
     if (const auto* wanted = std::get_if<peer::instance_list_request>(&request.body))
         co_return m_callbacks.instance_list(*wanted);
+    if (const auto* summaries = std::get_if<peer::summary_request>(&request.body))
+        co_return m_callbacks.summaries(*summaries);
     if (const auto* sought = std::get_if<peer::locate_request>(&request.body)) {
         const auto state = co_await m_callbacks.locate(sought->request);
         const auto holder = state == peer::locate_state::unknown ? instance_id{} : m_core.settings.instance;
@@ -365,6 +367,16 @@
     co_return std::move(*reply);
 }
 
+asio::awaitable<std::optional<peer::message>> peer_node::ask(membership::outgoing_message message)
+{
+    auto result = co_await m_transport->request(message.recipient, message.contact, std::move(message.body),
+                                                request_timeout);
+    auto* answer = std::get_if<peer::message>(&result);
+    if (answer == nullptr)
+        co_return std::nullopt;
+    co_return std::move(*answer);
+}
+
 asio::awaitable<std::optional<instance_id>> peer_node::locate(request_id request)
 {
     for (const auto& member : working_peers()) {
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -31,6 +31,7 @@
     std::function<void(const instance_id& sender, const peer::address& from, peer::instance_changes)>
         on_instance_changes;
     std::function<peer::instance_changes(const peer::instance_list_request&)> instance_list;
+    std::function<peer::summary_reply(const peer::summary_request&)> summaries;
     std::function<boost::asio::awaitable<peer::locate_state>(request_id)> locate;
     std::function<boost::asio::awaitable<bool>(peer::request_record)> adopt;
 };
@@ -58,6 +59,9 @@
     boost::asio::awaitable<std::optional<peer::instance_changes>>
     fetch_instances(std::optional<membership::member_info> from, peer::instance_list_request wanted);
 
+    /// Sends a request to any entry process and returns its reply.
+    boost::asio::awaitable<std::optional<peer::message>> ask(membership::outgoing_message message);
+
     /// The member that holds a request, if any of them does.
     boost::asio::awaitable<std::optional<instance_id>> locate(request_id request);
     /// Hands a request to one member after another until one accepts it.
