Services: Join through the seeds while the instance list is unavailable

Cause: the setting peers.seeds was checked and then ignored. A process that started while the platform was away found no peer, so it had neither sheet nor endpoints, although its peers had both.

A process without a list that cannot read one now sends member_join to its seeds and takes the list from a member. The frames of peers are bound to the recipient's id, which a seed's address does not tell, so member_join, and no other message and no reply, may be made for an empty id; frame_test checks that for each kind of message. Ruled out: ids in the seeds, because instances are replaced at any time, and a signature without recipient for all messages, which would let a recorded frame be sent to another process.

--- a/Libraries/peer/include/siskinwharf/peer/frame.h
+++ b/Libraries/peer/include/siskinwharf/peer/frame.h
@@ -29,7 +29,8 @@
 /// number (1; the highest bit is set if `in_reply_to` is present), length of the sender's id (1), sender's
 /// id, sequence (8), in_reply_to (8, optional), body (Thrift compact protocol), HMAC-SHA-256 (32) over all
 /// bytes before it and the recipient's id, which is not sent. Binding the recipient refuses a frame that was
-/// recorded on the way to another process.
+/// recorded on the way to another process. A `member_join` may be made for an empty id, because a starting
+/// process may know only the address of a seed; recorded, it says no more than that its sender once started.
 struct frame {
     instance_id sender;
     std::uint64_t sequence = 0;    ///< Unique for each frame of a sender; see `replay_guard`.
--- a/Libraries/peer/include/siskinwharf/peer/peer_transport.h
+++ b/Libraries/peer/include/siskinwharf/peer/peer_transport.h
@@ -38,7 +38,8 @@
 
     /// Sends a request over TCP and waits for its reply. A request that fails on a connection that was idle
     /// is sent once more on a new one, so the peer can receive it twice. Ends at the timeout at the latest;
-    /// cancelling it has no effect before.
+    /// cancelling it has no effect before. An empty recipient stands for whichever process has the address,
+    /// and takes a `member_join` only.
     [[nodiscard]] boost::asio::awaitable<request_result> request(instance_id recipient, address contact,
                                                                  message body, milliseconds timeout);
 
--- a/Libraries/peer/src/frame.cpp
+++ b/Libraries/peer/src/frame.cpp
@@ -19,6 +19,11 @@
 // empty.
 constexpr std::size_t smallest_frame = frame_length_size + 3 + sequence_size + authentication_size;
 
+/// Number of `member_join`, the only message that need not name its recipient. Neither a reply nor any other
+/// message has this byte.
+constexpr std::uint8_t join_number = 3;
+static_assert(std::is_same_v<std::variant_alternative_t<join_number, message>, member_join>);
+
 void append_integer(std::string& output, std::uint64_t value, std::size_t size)
 {
     for (std::size_t index = size; index > 0; --index)
@@ -137,9 +142,13 @@
         read_integer(bytes.substr(0, frame_length_size)) != bytes.size() - frame_length_size)
         return frame_error(malformed_frame{});
     const std::string_view content = bytes.substr(0, bytes.size() - authentication_size);
-    if (!equal_constant_time(authenticate(key, content, recipient), bytes.substr(content.size())))
-        return frame_error(bad_authentication{});
-    return parse_content(content);
+    const std::string_view found = bytes.substr(content.size());
+    if (equal_constant_time(authenticate(key, content, recipient), found))
+        return parse_content(content);
+    const bool is_join = static_cast<std::uint8_t>(content[frame_length_size + 1]) == join_number;
+    if (is_join && equal_constant_time(authenticate(key, content, {}), found))
+        return parse_content(content);
+    return frame_error(bad_authentication{});
 }
 
 } // namespace siskinwharf::peer
--- a/Libraries/peer/src/peer_link.cpp
+++ b/Libraries/peer/src/peer_link.cpp
@@ -155,7 +155,9 @@
         co_return error_of(received.status);
     }
     auto* answer = std::get_if<frame>(&received.content);
-    if (answer == nullptr || answer->in_reply_to != sequence || answer->sender != m_peer) {
+    // A peer of which only the address is known may have any id.
+    const bool is_from_peer = answer != nullptr && (m_peer.empty() || answer->sender == m_peer);
+    if (!is_from_peer || answer->in_reply_to != sequence) {
         link->close();
         co_return transport_error(connection_lost{});
     }
--- a/Libraries/peer/tests/frame_test.cpp
+++ b/Libraries/peer/tests/frame_test.cpp
@@ -141,6 +141,20 @@
     CHECK(error_of(decode(good, key, sender, datagram_limit)) == "bad_authentication");
 }
 
+TEST_CASE("only a join is accepted without the id of its recipient, so that no other frame can be redirected")
+{
+    for (const auto& body : all_messages()) {
+        CAPTURE(body.index());
+        const auto bytes = encode({sender, 5, 0, body}, key, instance_id{}, stream_frame_limit);
+        const auto result = decode(std::get<std::string>(bytes), key, recipient, stream_frame_limit);
+        const bool is_join = std::holds_alternative<member_join>(body);
+        CHECK(error_of(result) == (is_join ? "" : "bad_authentication"));
+        const auto reply = encode({sender, 5, 4, body}, key, instance_id{}, stream_frame_limit);
+        const auto refused = decode(std::get<std::string>(reply), key, recipient, stream_frame_limit);
+        CHECK(error_of(refused) == "bad_authentication");
+    }
+}
+
 TEST_CASE("a frame over the limit of its transport is refused before it is sent")
 {
     const frame big{sender, 1, 0, sheet_reply{1, std::string(datagram_limit, 'x')}};
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -138,6 +138,9 @@
 instance_feed_ports entry_process::make_instance_feed_ports()
 {
     instance_feed_ports result;
+    result.join_seeds = [this] {
+        return m_peers->join_seeds();
+    };
     result.members = [this] {
         return m_peers->working_members();
     };
--- a/Services/siskinwharfd/src/instance_feed.cpp
+++ b/Services/siskinwharfd/src/instance_feed.cpp
@@ -142,8 +142,10 @@
     } else {
         m_share.read_failed(now(), m_random);
         note_list_answers(false);
-        if (!m_share.has_list())
-            co_await fetch(std::nullopt);
+        if (m_share.has_list())
+            co_return;
+        co_await m_ports.join_seeds();
+        co_await fetch(std::nullopt);
         co_return;
     }
     note_list_answers(true);
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -367,6 +367,29 @@
     co_return std::move(*reply);
 }
 
+asio::awaitable<void> peer_node::join_seeds()
+{
+    const peer::address self = contact_of(m_core.settings.listen.peers);
+    for (const auto& seed : m_core.settings.peer_seeds) {
+        const auto contact = contact_of(seed);
+        if (contact == self)
+            continue;
+        if (!working_peers().empty())
+            co_return;
+        peer::message body = peer::member_join{
+            {m_core.settings.instance, self, peer::member_state::alive, m_members.incarnation()}};
+        // Only the address of a seed is known.
+        auto result = co_await m_transport->request(instance_id{}, contact, std::move(body), request_timeout);
+        const auto* answer = std::get_if<peer::message>(&result);
+        const auto* sync = answer != nullptr ? std::get_if<peer::member_sync>(answer) : nullptr;
+        // The sender names itself first.
+        if (sync == nullptr || sync->state.members.empty())
+            continue;
+        const auto sender = sync->state.members.front().member;
+        carry_out(m_members.receive(now(), m_random, sender, contact, *answer));
+    }
+}
+
 asio::awaitable<std::optional<peer::message>> peer_node::ask(membership::outgoing_message message)
 {
     auto result = co_await m_transport->request(message.recipient, message.contact, std::move(message.body),
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -59,6 +59,8 @@
     boost::asio::awaitable<std::optional<peer::instance_changes>>
     fetch_instances(std::optional<membership::member_info> from, peer::instance_list_request wanted);
 
+    /// Joins through the seeds of the settings, unless a member is known already.
+    boost::asio::awaitable<void> join_seeds();
     /// Sends a request to any entry process and returns its reply.
     boost::asio::awaitable<std::optional<peer::message>> ask(membership::outgoing_message message);
 
--- a/Services/siskinwharfd/src/summary_exchange.cpp
+++ b/Services/siskinwharfd/src/summary_exchange.cpp
@@ -88,6 +88,7 @@
         row.free_slots += entry.info->capacity > streams ? entry.info->capacity - streams : 0;
     }
     std::vector<peer::summary_row> result;
+    result.reserve(rows.size());
     for (auto& [key, row] : rows)
         result.push_back(std::move(row));
     return result;
--- a/Tests/benchmarks/control_cost.py
+++ b/Tests/benchmarks/control_cost.py
@@ -40,7 +40,11 @@
     def accept(self):
         while True:
             near, _ = self.listener.accept()
-            far = socket.create_connection(("127.0.0.1", self.target))
+            try:
+                far = socket.create_connection(("127.0.0.1", self.target))
+            except OSError:
+                near.close()
+                continue
             for each in (near, far):
                 each.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             threading.Thread(target=self.copy, args=(near, far, "sent"), daemon=True).start()
--- a/Tests/system/deployment.py
+++ b/Tests/system/deployment.py
@@ -161,21 +161,21 @@
                              "serves": {"service": service}, "capacity": 64, "price_microcents_per_second": 100,
                              "reclaimable": False, "class": "cpu-small"})
 
-    def settings_text(self, name, region, ports, platform_port):
+    def settings_text(self, name, region, ports, platform_port, seeds=()):
         return "\n".join([
             "[instance]", f'id = "{name}"', f'failure_domain = "{region}-a"', f'region = "{region}"', "threads = 2",
             "[listen]", f'callers = "127.0.0.1:{ports[0]}"', f'peers = "127.0.0.1:{ports[1]}"',
             f'admin = "127.0.0.1:{ports[2]}"',
-            "[peers]", f'key = "{PEER_KEY}"',
+            "[peers]", f'key = "{PEER_KEY}"', f"seeds = {json.dumps(list(seeds))}",
             "[platform]", f'address = "127.0.0.1:{platform_port}"',
             "[routing]", f'policy = "{self.policy}"', f"recomputed_token_weight = {self.recomputed_token_weight}",
             "[limits]", "header_timeout_ms = 5000",
             "[timing]", "stop_timeout_ms = 60000", ""])
 
-    def start_entry(self, name, region, register=True):
+    def start_entry(self, name, region, register=True, seeds=()):
         ports = self.entries[name]["ports"] if name in self.entries else free_ports(3)
         path = pathlib.Path(self.directory) / f"{name}.toml"
-        path.write_text(self.settings_text(name, region, ports, self.platform_port))
+        path.write_text(self.settings_text(name, region, ports, self.platform_port, seeds))
         self.spawn(name, self.bin / "siskinwharfd", path)
         self.entries[name] = {"ports": ports, "region": region}
         if register:
--- a/Tests/system/test_readiness.py
+++ b/Tests/system/test_readiness.py
@@ -28,6 +28,20 @@
             http("POST", deployment.platform_port, "/faults", {"instances": "up"})
             wait_until(lambda: deployment.ready("entry-kingston-1"), 20, "the process is ready")
 
+    def test_start_without_platform(self):
+        """Guards against a process that cannot join while the platform is away, although a peer has all it needs:
+        the seed of its settings gives it the members, the sheet and the instance list."""
+        with Deployment(build=BUILD, regions=("kingston",)) as deployment:
+            deployment.start_platform()
+            deployment.start_engine("engine-kingston-1", "kingston", CARTLINE.model, CARTLINE.version)
+            self.assertEqual(deployment.submit().returncode, 0)
+            deployment.start_entry("entry-kingston-1", "kingston")
+            wait_until(lambda: deployment.ready("entry-kingston-1"), 20, "the first process is ready")
+            http("POST", deployment.platform_port, "/faults", {"instances": "down", "table": "down"})
+            seed = f"127.0.0.1:{deployment.entries['entry-kingston-1']['ports'][1]}"
+            deployment.start_entry("entry-kingston-2", "kingston", register=False, seeds=[seed])
+            wait_until(lambda: deployment.ready("entry-kingston-2"), 30, "the second process is ready")
+
 
 if __name__ == "__main__":
     unittest.main()
