Services: Send load digests every two seconds in large failure domains

Cause: with 30 members and every load changing each second, digests alone are 3.6 KB/s sent and as much received, and the whole control traffic 11.2 KB/s both ways (calculated from membership_benchmark). A frame to each member outweighs its digests. Above 16 members they now go out after every second poll: 7.7 KB/s by the same calculation, not measured with changing loads.

A process without a list tries one seed for each failed read of the list instead of all of them, because 64 seeds that do not answer would have kept it from the platform for 64 s.

--- a/Libraries/membership/src/load_changes.cpp
+++ b/Libraries/membership/src/load_changes.cpp
@@ -1,5 +1,6 @@
 #include "siskinwharf/membership/load_changes.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace siskinwharf::membership {
@@ -11,6 +12,11 @@
 
 } // namespace
 
+std::size_t polls_per_send(std::size_t members)
+{
+    return std::max<std::size_t>((members + members_per_send - 1) / members_per_send, 1);
+}
+
 std::vector<peer::load_digest> load_changes::select(monotonic_time now,
                                                     const std::vector<peer::load_digest>& polled)
 {
@@ -34,7 +40,7 @@
 
 numbered_load number_load(const peer::load_digest& digest)
 {
-    return {digest, std::uint64_t{digest.sequence} << repeat_bits};
+    return {digest, std::uint64_t{digest.sequence} << repeat_bits, milliseconds(0)};
 }
 
 numbered_load load_repeats::receive(monotonic_time now, const peer::load_digest& digest)
@@ -44,16 +50,18 @@
     return load;
 }
 
-std::vector<numbered_load> load_repeats::due(monotonic_time now)
+std::vector<numbered_load> load_repeats::due(monotonic_time now, std::size_t polls)
 {
+    const milliseconds age = load_poll_period * static_cast<std::int64_t>(polls) + load_poll_period / 2;
     std::erase_if(m_received, [now](const auto& entry) {
         return now > entry.second.received_at + load_repeat_period + 2 * load_poll_period;
     });
     std::vector<numbered_load> result;
     for (auto& [key, received] : m_received) {
-        if (now < received.received_at + load_poll_period)
+        if (now < received.received_at + age)
             continue;
         ++received.load.sequence;
+        received.load.age = age;
         result.push_back(received.load);
     }
     return result;
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -138,8 +138,8 @@
 instance_feed_ports entry_process::make_instance_feed_ports()
 {
     instance_feed_ports result;
-    result.join_seeds = [this] {
-        return m_peers->join_seeds();
+    result.join_seed = [this] {
+        return m_peers->join_seed();
     };
     result.members = [this] {
         return m_peers->working_members();
--- a/Services/siskinwharfd/src/instance_feed.cpp
+++ b/Services/siskinwharfd/src/instance_feed.cpp
@@ -144,7 +144,7 @@
         note_list_answers(false);
         if (m_share.has_list())
             co_return;
-        co_await m_ports.join_seeds();
+        co_await m_ports.join_seed();
         co_await fetch(std::nullopt);
         co_return;
     }
--- a/Services/siskinwharfd/src/instance_feed.h
+++ b/Services/siskinwharfd/src/instance_feed.h
@@ -26,8 +26,8 @@
     std::function<boost::asio::awaitable<std::optional<peer::instance_changes>>(
         std::optional<membership::member_info>, peer::instance_list_request)>
         fetch;
-    /// Finds members without the instance list.
-    std::function<boost::asio::awaitable<void>()> join_seeds;
+    /// Tries to find members without the instance list.
+    std::function<boost::asio::awaitable<void>()> join_seed;
 };
 
 /// Keeps the instance list up to date: reads it from the platform or takes it from a member, as
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -199,6 +199,7 @@
 asio::awaitable<void> peer_node::run_load_polls()
 {
     asio::steady_timer timer(m_control);
+    std::size_t round = 0;
     while (true) {
         const auto digest = std::make_shared<peer::load_report>();
         const auto polled = membership::polled_endpoints(m_core.settings.instance,
@@ -207,7 +208,10 @@
             asio::co_spawn(m_control, poll_load(endpoint, digest), asio::detached);
         timer.expires_after(membership::load_poll_period);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-        apply_loads(m_load_repeats.due(now()));
+        const auto polls = membership::polls_per_send(m_members.working_members().size());
+        apply_loads(m_load_repeats.due(now(), polls));
+        if (++round % polls != 0)
+            continue;
         const peer::load_report report{m_load_changes.select(now(), digest->loads)};
         if (report.loads.empty())
             continue;
@@ -259,9 +263,10 @@
 {
     routing::load_report report;
     report.sequence = load.sequence;
-    report.measured_at = now();
+    const auto time = now();
+    report.measured_at = time - load.age;
     report.streams = load.digest.in_flight;
-    m_core.table.apply_report(endpoint, report, report.measured_at);
+    m_core.table.apply_report(endpoint, report, time);
 }
 
 std::vector<membership::member_info> peer_node::working_peers() const
@@ -367,27 +372,26 @@
     co_return std::move(*reply);
 }
 
-asio::awaitable<void> peer_node::join_seeds()
+asio::awaitable<void> peer_node::join_seed()
 {
+    const auto& seeds = m_core.settings.peer_seeds;
+    if (seeds.empty() || !working_peers().empty())
+        co_return;
     const peer::address self = contact_of(m_core.settings.listen.peers);
-    for (const auto& seed : m_core.settings.peer_seeds) {
-        const auto contact = contact_of(seed);
-        if (contact == self)
-            continue;
-        if (!working_peers().empty())
-            co_return;
-        peer::message body = peer::member_join{
-            {m_core.settings.instance, self, peer::member_state::alive, m_members.incarnation()}};
-        // Only the address of a seed is known.
-        auto result = co_await m_transport->request(instance_id{}, contact, std::move(body), request_timeout);
-        const auto* answer = std::get_if<peer::message>(&result);
-        const auto* sync = answer != nullptr ? std::get_if<peer::member_sync>(answer) : nullptr;
-        // The sender names itself first.
-        if (sync == nullptr || sync->state.members.empty())
-            continue;
-        const auto sender = sync->state.members.front().member;
-        carry_out(m_members.receive(now(), m_random, sender, contact, *answer));
-    }
+    const auto contact = contact_of(seeds[m_next_seed++ % seeds.size()]);
+    if (contact == self)
+        co_return;
+    peer::message body = peer::member_join{
+        {m_core.settings.instance, self, peer::member_state::alive, m_members.incarnation()}};
+    // Only the address of a seed is known.
+    auto result = co_await m_transport->request(instance_id{}, contact, std::move(body), request_timeout);
+    const auto* answer = std::get_if<peer::message>(&result);
+    const auto* sync = answer != nullptr ? std::get_if<peer::member_sync>(answer) : nullptr;
+    // The sender names itself first.
+    if (sync == nullptr || sync->state.members.empty())
+        co_return;
+    const auto sender = sync->state.members.front().member;
+    carry_out(m_members.receive(now(), m_random, sender, contact, *answer));
 }
 
 asio::awaitable<std::optional<peer::message>> peer_node::ask(membership::outgoing_message message)
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -59,8 +59,8 @@
     boost::asio::awaitable<std::optional<peer::instance_changes>>
     fetch_instances(std::optional<membership::member_info> from, peer::instance_list_request wanted);
 
-    /// Joins through the seeds of the settings, unless a member is known already.
-    boost::asio::awaitable<void> join_seeds();
+    /// Joins through the next of the seeds of the settings, unless a member is known already.
+    boost::asio::awaitable<void> join_seed();
     /// Sends a request to any entry process and returns its reply.
     boost::asio::awaitable<std::optional<peer::message>> ask(membership::outgoing_message message);
 
@@ -104,6 +104,7 @@
 
     bool m_fetching_sheet = false;
     std::uint64_t m_missed_sheet = 0;
+    std::size_t m_next_seed = 0;
 };
 
 } // namespace siskinwharf::entry
