--- a/Tests/benchmarks/control_cost.py
+++ b/Tests/benchmarks/control_cost.py
@@ -22,7 +22,7 @@
 DOMAINS = 26
 ENTRIES = 370
 REPLICAS = 2300
-MODEL, VERSION = "dough-7b", "3"
+MODEL, VERSION = "dough-7b", "v3"
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 
 
