--- a/Libraries/peer/src/conversion.h
+++ b/Libraries/peer/src/conversion.h
@@ -31,6 +31,8 @@
 wire::claim_commit_request to_wire(const claim_commit_request& value);
 wire::claim_commit_reply to_wire(const claim_commit_reply& value);
 wire::rollout_state to_wire(const rollout_state& value);
+wire::instance_changes to_wire(const instance_changes& value);
+wire::instance_list_request to_wire(const instance_list_request& value);
 
 ping from_wire(const wire::ping& value);
 ack from_wire(const wire::ack& value);
@@ -55,5 +57,7 @@
 claim_commit_request from_wire(const wire::claim_commit_request& value);
 claim_commit_reply from_wire(const wire::claim_commit_reply& value);
 rollout_state from_wire(const wire::rollout_state& value);
+instance_changes from_wire(const wire::instance_changes& value);
+instance_list_request from_wire(const wire::instance_list_request& value);
 
 } // namespace siskinwharf::peer
--- a/Libraries/peer/tests/frame_test.cpp
+++ b/Libraries/peer/tests/frame_test.cpp
@@ -21,6 +21,23 @@
         41};
     const domain_summary summary{
         failure_domain_id("ocho"), 99, {{model_id("dough-7b"), "v2", 20, UINT32_MAX, 7}}};
+    instance_entry listed;
+    listed.id = instance_id("m-3");
+    listed.address = "127.0.0.1";
+    listed.port = 65535;
+    listed.peer_port = 9081;
+    listed.domain = failure_domain_id("ocho-a");
+    listed.region = region_id("ocho");
+    listed.kind = workload_kind::service;
+    listed.serves = "orders";
+    listed.version = "v2";
+    listed.leaving = true;
+    listed.leaves_in = milliseconds(30'000);
+    listed.started_ms = 1'790'000'000'000;
+    listed.capacity = UINT32_MAX;
+    listed.machine_class = "gpu-small";
+    listed.price_microcents_per_second = UINT64_MAX;
+    listed.reclaimable = true;
     return {
         ping{1, news},
         ack{UINT64_MAX, news},
@@ -50,6 +67,8 @@
                       7,
                       {{endpoint_id("m-3"), model_id("dough-7b"), "v3", milliseconds(20'000)},
                        {endpoint_id("m-4"), model_id("dough-7b"), "v4", std::nullopt}}},
+        instance_changes{1'796'000'000'000, 17, UINT64_MAX, "W/\"a\"", true, {listed}, {instance_id("m-9")}},
+        instance_list_request{{17, UINT64_MAX}},
     };
 }
 
@@ -129,6 +148,20 @@
     CHECK(error_of(decode(good, key, sender, datagram_limit)) == "bad_authentication");
 }
 
+TEST_CASE("only a join is accepted without the id of its recipient, so that no other frame can be redirected")
+{
+    for (const auto& body : all_messages()) {
+        CAPTURE(body.index());
+        const auto bytes = encode({sender, 5, 0, body}, key, instance_id{}, stream_frame_limit);
+        const auto result = decode(std::get<std::string>(bytes), key, recipient, stream_frame_limit);
+        const bool is_join = std::holds_alternative<member_join>(body);
+        CHECK(error_of(result) == (is_join ? "" : "bad_authentication"));
+        const auto reply = encode({sender, 5, 4, body}, key, instance_id{}, stream_frame_limit);
+        const auto refused = decode(std::get<std::string>(reply), key, recipient, stream_frame_limit);
+        CHECK(error_of(refused) == "bad_authentication");
+    }
+}
+
 TEST_CASE("a frame over the limit of its transport is refused before it is sent")
 {
     const frame big{sender, 1, 0, sheet_reply{1, std::string(datagram_limit, 'x')}};
--- a/Services/siskinwharfd/src/entry_core.h
+++ b/Services/siskinwharfd/src/entry_core.h
@@ -14,6 +14,8 @@
 #include "siskinwharf/admission/retry_budget.h"
 #include "siskinwharf/base/time.h"
 #include "siskinwharf/http/message.h"
+#include "siskinwharf/peer/messages.h"
+#include "siskinwharf/peer/transport_options.h"
 #include "siskinwharf/routing/router.h"
 #include "siskinwharf/routing/routing_table.h"
 #include "siskinwharf/settings/settings.h"
@@ -60,6 +62,9 @@
     std::atomic<bool> endpoints_known{false};
     /// The entries of the quarantine have been fetched from a peer, or no peer has answered in time.
     std::atomic<bool> quarantine_known{true};
+    /// Version of the instance list here, and whether this process reads it for its failure domain.
+    std::atomic<std::uint64_t> instance_list_version{0};
+    std::atomic<bool> reads_instance_list{false};
     /// Reports what a request found out about an endpoint to the control thread.
     std::function<void(const endpoint_id&, endpoint_report)> report_endpoint;
     /// Sends new entries of the quarantine to the other entry processes of the failure domain. Called on the
@@ -73,6 +78,10 @@
     /// Finds the caller address of the peer that holds a request, named `<account>:<request id>`. May be
     /// awaited from any thread.
     std::function<boost::asio::awaitable<std::optional<http::address>>(request_id)> find_holder;
+    /// Bytes exchanged with other entry processes. To be called on the control thread.
+    std::function<peer::transport_counters()> peer_counters;
+    /// Capacity of the other failure domains. To be called on the control thread.
+    std::function<std::vector<peer::domain_summary>()> domain_summaries;
     /// Numbers attempts and requests of this process.
     std::atomic<std::uint64_t> next_number{1};
 
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -23,6 +23,8 @@
 /// Time before the end of a reclaimed instance at which its requests are handed over.
 constexpr milliseconds handover_margin{1'500};
 constexpr milliseconds last_writes_time{500};
+/// A table operation that is running may take its whole timeout of 1 s before the release can be sent.
+constexpr milliseconds release_time{1'500};
 constexpr milliseconds readiness_poll_period{20};
 
 routing::routing_policy policy_of(settings::routing_policy policy)
@@ -68,9 +70,11 @@
                                         m_core.settings.instance.value()}),
       m_committer(m_control, m_table),
       m_claim_service(m_control, m_committer),
-      m_platform(m_control, m_core, m_client, make_observer()),
+      m_platform(m_control, m_core, m_client, make_instance_feed_ports(), make_observer()),
       m_peers(std::make_shared<peer_node>(m_control, m_core, m_client, m_committer, make_peer_callbacks())),
       m_claim_forwarder(m_control, make_forwarding_ports()),
+      m_summaries(m_control, m_core,
+                  [this](membership::outgoing_message message) { return m_peers->ask(std::move(message)); }),
       m_control_loop(
           m_control, m_core, m_table, m_client,
           [this](const std::map<endpoint_id, monotonic_time>& gone_at) { m_platform.announce(gone_at); },
@@ -108,6 +112,12 @@
     m_core.find_holder = [this](request_id id) {
         return find_holder(std::move(id));
     };
+    m_core.domain_summaries = [this] {
+        return m_summaries.summaries();
+    };
+    m_core.peer_counters = [this] {
+        return m_peers->counters();
+    };
     m_core.report_endpoint = [this](const endpoint_id& endpoint, endpoint_report report) {
         asio::post(m_control, [this, endpoint, report] { m_platform.report(endpoint, report); });
     };
@@ -129,6 +139,7 @@
     result.on_instances = [this](const std::vector<platform::instance_record>& records) {
         m_peers->apply_instances(records);
         m_control_loop.update(records);
+        m_summaries.update(records);
         note_entry_instances(records);
     };
     result.announce = [this](const std::vector<peer::endpoint_notice>& notices) {
@@ -140,6 +151,24 @@
     return result;
 }
 
+instance_feed_ports entry_process::make_instance_feed_ports()
+{
+    instance_feed_ports result;
+    result.join_seed = [this] {
+        return m_peers->join_seed();
+    };
+    result.members = [this] {
+        return m_peers->working_members();
+    };
+    result.share = [this](const peer::instance_changes& changes) {
+        m_peers->share(changes);
+    };
+    result.fetch = [this](std::optional<membership::member_info> from, peer::instance_list_request wanted) {
+        return m_peers->fetch_instances(std::move(from), std::move(wanted));
+    };
+    return result;
+}
+
 peer_callbacks entry_process::make_peer_callbacks()
 {
     peer_callbacks result;
@@ -155,6 +184,19 @@
     result.departed = [this] {
         return m_platform.departed();
     };
+    result.on_sheet_missed = [this] {
+        m_platform.expedite_sheet();
+    };
+    result.on_instance_changes = [this](const instance_id& sender, const peer::address& from,
+                                        const peer::instance_changes& changes) {
+        m_platform.instances().receive(sender, from, changes);
+    };
+    result.instance_list = [this](const peer::instance_list_request& request) {
+        return m_platform.instances().reply(request);
+    };
+    result.summaries = [this](const peer::summary_request& request) {
+        return m_summaries.reply(request);
+    };
     result.locate = [this](request_id id) {
         return locate_here(std::move(id));
     };
@@ -239,6 +281,8 @@
     co_await hand_over_requests();
     // Callers whose connection was to end get that end before the process does.
     co_await drain(now() + last_writes_time);
+    // Without the release the next holder waits for the lease to run out, 14 s instead of 4 s.
+    co_await m_control_loop.release(release_time);
     m_peers->stop();
     m_control.stop();
 }
@@ -271,6 +315,7 @@
     }
     m_platform.start();
     m_control_loop.start();
+    m_summaries.start();
     m_committer.start();
     for (std::size_t index = 0; index < m_workers.size(); ++index) {
         m_servers[index]->start();
--- a/Services/siskinwharfd/src/entry_process.h
+++ b/Services/siskinwharfd/src/entry_process.h
@@ -17,6 +17,7 @@
 #include "peer_node.h"
 #include "platform_sync.h"
 #include "siskinwharf/http/server.h"
+#include "summary_exchange.h"
 #include "worker.h"
 
 namespace siskinwharf::entry {
@@ -39,6 +40,7 @@
     [[nodiscard]] platform_sync::observer make_observer();
     [[nodiscard]] peer_callbacks make_peer_callbacks();
     [[nodiscard]] forwarding_ports make_forwarding_ports();
+    [[nodiscard]] instance_feed_ports make_instance_feed_ports();
     boost::asio::awaitable<claims::holder_reply>
     ask_holder(std::string holder, claims::claim_identity identity, claims::attempt_number attempt);
     boost::asio::awaitable<peer::locate_state> locate_here(request_id id);
@@ -66,6 +68,7 @@
     platform_sync m_platform;
     std::shared_ptr<peer_node> m_peers;
     claim_forwarder m_claim_forwarder;
+    summary_exchange m_summaries;
     std::map<instance_id, http::address> m_entry_addresses;
     control_loop m_control_loop;
     admin_api m_admin_api{m_core, [this] {
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -25,7 +25,8 @@
 constexpr std::size_t connections_per_peer = 4;
 /// The work whose owner commits the claims of the failure domain.
 constexpr std::string_view claim_work = "claims";
-constexpr milliseconds load_poll_period{500};
+/// The whole list at full size has about 300 KB.
+constexpr milliseconds instance_list_timeout{2'000};
 constexpr milliseconds load_poll_timeout{1'000};
 
 peer::address contact_of(const settings::socket_address& address)
@@ -185,8 +186,10 @@
     m_fetching_sheet = false;
     const auto* answer = std::get_if<peer::message>(&result);
     const auto* reply = answer != nullptr ? std::get_if<peer::sheet_reply>(answer) : nullptr;
-    if (reply == nullptr || reply->version == 0)
+    if (reply == nullptr || reply->version == 0) {
+        note_missed_sheet(known.version);
         co_return;
+    }
     const auto outcome = m_core.sheets.offer(reply->version, reply->text);
     if (outcome == sheet::offer_outcome::in_force)
         log_event(event::sheet_in_force,
@@ -195,6 +198,14 @@
         m_core.sheets.drop_wanted(reply->version);
 }
 
+void peer_node::note_missed_sheet(std::uint64_t version)
+{
+    if (version <= m_missed_sheet)
+        return;
+    m_missed_sheet = version;
+    m_callbacks.on_sheet_missed();
+}
+
 std::vector<endpoint_id> peer_node::own_endpoints() const
 {
     std::vector<endpoint_id> result;
@@ -222,6 +233,7 @@
 asio::awaitable<void> peer_node::run_load_polls()
 {
     asio::steady_timer timer(m_control);
+    std::size_t round = 0;
     while (true) {
         const auto digest = std::make_shared<peer::load_report>();
         const auto polled = membership::polled_endpoints(m_core.settings.instance,
@@ -230,12 +242,17 @@
             asio::co_spawn(m_control, poll_load(endpoint, digest), asio::detached);
         for (const auto& endpoint : used_remote_endpoints())
             asio::co_spawn(m_control, poll_load(endpoint, nullptr), asio::detached);
-        timer.expires_after(load_poll_period);
+        timer.expires_after(membership::load_poll_period);
         co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-        if (digest->loads.empty())
+        const auto polls = membership::polls_per_send(m_members.working_members().size());
+        apply_loads(m_load_repeats.due(now(), polls));
+        if (++round % polls != 0)
+            continue;
+        const peer::load_report report{m_load_changes.select(now(), digest->loads)};
+        if (report.loads.empty())
             continue;
         for (const auto& member : working_peers())
-            m_transport->send(member.member, member.contact, *digest);
+            m_transport->send(member.member, member.contact, report);
     }
 }
 
@@ -262,32 +279,33 @@
         entry.sequence = number_of(load, "sequence");
         if (digest)
             digest->loads.push_back(entry);
-        apply_load(endpoint, entry);
+        apply_load(endpoint, membership::number_load(entry));
     } catch (const http::call_error&) {
         if (digest)
             m_callbacks.on_probe(endpoint, false);
     }
 }
 
-void peer_node::apply_loads(const peer::load_report& report)
+void peer_node::apply_loads(const std::vector<membership::numbered_load>& loads)
 {
     std::map<std::uint32_t, std::vector<endpoint_id>> by_key;
     for (const auto& endpoint : own_endpoints())
         by_key[peer::endpoint_key(endpoint)].push_back(endpoint);
-    for (const auto& load : report.loads) {
-        const auto found = by_key.find(load.endpoint_key);
+    for (const auto& load : loads) {
+        const auto found = by_key.find(load.digest.endpoint_key);
         if (found != by_key.end() && found->second.size() == 1)
             apply_load(found->second.front(), load);
     }
 }
 
-void peer_node::apply_load(const endpoint_id& endpoint, const peer::load_digest& load)
+void peer_node::apply_load(const endpoint_id& endpoint, const membership::numbered_load& load)
 {
     routing::load_report report;
     report.sequence = load.sequence;
-    report.measured_at = now();
-    report.streams = load.in_flight;
-    m_core.table.apply_report(endpoint, report, report.measured_at);
+    const auto time = now();
+    report.measured_at = time - load.age;
+    report.streams = load.digest.in_flight;
+    m_core.table.apply_report(endpoint, report, time);
 }
 
 std::vector<membership::member_info> peer_node::working_peers() const
@@ -322,7 +340,14 @@
 void peer_node::receive(peer::frame datagram, peer::address from)
 {
     if (const auto* loads = std::get_if<peer::load_report>(&datagram.body)) {
-        apply_loads(*loads);
+        std::vector<membership::numbered_load> numbered;
+        for (const auto& load : loads->loads)
+            numbered.push_back(m_load_repeats.receive(now(), load));
+        apply_loads(numbered);
+        return;
+    }
+    if (auto* changes = std::get_if<peer::instance_changes>(&datagram.body)) {
+        m_callbacks.on_instance_changes(datagram.sender, from, std::move(*changes));
         return;
     }
     if (const auto* update = std::get_if<peer::quarantine_update>(&datagram.body)) {
@@ -343,6 +368,10 @@
         const bool has_it = current && (wanted->version == 0 || wanted->version <= current->version);
         co_return has_it ? peer::sheet_reply{current->version, current->text} : peer::sheet_reply{};
     }
+    if (const auto* wanted = std::get_if<peer::instance_list_request>(&request.body))
+        co_return m_callbacks.instance_list(*wanted);
+    if (const auto* summaries = std::get_if<peer::summary_request>(&request.body))
+        co_return m_callbacks.summaries(*summaries);
     if (const auto* sought = std::get_if<peer::locate_request>(&request.body)) {
         const auto state = co_await m_callbacks.locate(sought->request);
         const auto holder = state == peer::locate_state::unknown ? instance_id{} : m_core.settings.instance;
@@ -386,6 +415,69 @@
     co_return answer;
 }
 
+void peer_node::share(const peer::instance_changes& changes)
+{
+    for (const auto& member : working_peers()) {
+        if (!m_transport->send(member.member, member.contact, changes))
+            continue;
+        // Too long for a datagram: without a base the recipient sees that it misses something and fetches it.
+        peer::instance_changes news;
+        news.version = changes.version;
+        news.digest = changes.digest;
+        m_transport->send(member.member, member.contact, news);
+    }
+}
+
+asio::awaitable<std::optional<peer::instance_changes>>
+peer_node::fetch_instances(std::optional<membership::member_info> from, peer::instance_list_request wanted)
+{
+    const auto peers = working_peers();
+    if (!from && !peers.empty())
+        from = peers[m_random() % peers.size()];
+    if (!from)
+        co_return std::nullopt;
+    peer::message body = wanted;
+    auto result =
+        co_await m_transport->request(from->member, from->contact, std::move(body), instance_list_timeout);
+    auto* answer = std::get_if<peer::message>(&result);
+    auto* reply = answer != nullptr ? std::get_if<peer::instance_changes>(answer) : nullptr;
+    if (reply == nullptr)
+        co_return std::nullopt;
+    co_return std::move(*reply);
+}
+
+asio::awaitable<void> peer_node::join_seed()
+{
+    const auto& seeds = m_core.settings.peer_seeds;
+    if (seeds.empty() || !working_peers().empty())
+        co_return;
+    const peer::address self = contact_of(m_core.settings.listen.peers);
+    const auto contact = contact_of(seeds[m_next_seed++ % seeds.size()]);
+    if (contact == self)
+        co_return;
+    peer::message body = peer::member_join{
+        {m_core.settings.instance, self, peer::member_state::alive, m_members.incarnation()}};
+    // Only the address of a seed is known.
+    auto result = co_await m_transport->request(instance_id{}, contact, std::move(body), request_timeout);
+    const auto* answer = std::get_if<peer::message>(&result);
+    const auto* sync = answer != nullptr ? std::get_if<peer::member_sync>(answer) : nullptr;
+    // The sender names itself first.
+    if (sync == nullptr || sync->state.members.empty())
+        co_return;
+    const auto sender = sync->state.members.front().member;
+    carry_out(m_members.receive(now(), m_random, sender, contact, *answer));
+}
+
+asio::awaitable<std::optional<peer::message>> peer_node::ask(membership::outgoing_message message)
+{
+    auto result = co_await m_transport->request(message.recipient, message.contact, std::move(message.body),
+                                                request_timeout);
+    auto* answer = std::get_if<peer::message>(&result);
+    if (answer == nullptr)
+        co_return std::nullopt;
+    co_return std::move(*answer);
+}
+
 asio::awaitable<std::optional<instance_id>> peer_node::locate(request_id request)
 {
     for (const auto& member : working_peers()) {
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -18,6 +18,7 @@
 #include "isolation_exchange.h"
 #include "quarantine_exchange.h"
 #include "siskinwharf/http/client.h"
+#include "siskinwharf/membership/load_changes.h"
 #include "siskinwharf/membership/member_table.h"
 #include "siskinwharf/peer/peer_transport.h"
 #include "siskinwharf/platform/instance_list.h"
@@ -30,6 +31,12 @@
     std::function<void(const endpoint_id&, bool answered)> on_probe;
     std::function<void(const peer::rollout_state&)> on_rollout;
     std::function<std::vector<peer::endpoint_notice>()> departed;
+    /// A peer announced a newer sheet and did not deliver it. Called once for each version.
+    std::function<void()> on_sheet_missed;
+    std::function<void(const instance_id& sender, const peer::address& from, peer::instance_changes)>
+        on_instance_changes;
+    std::function<peer::instance_changes(const peer::instance_list_request&)> instance_list;
+    std::function<peer::summary_reply(const peer::summary_request&)> summaries;
     std::function<boost::asio::awaitable<peer::locate_state>(request_id)> locate;
     std::function<boost::asio::awaitable<bool>(peer::request_record)> adopt;
     std::function<boost::asio::awaitable<peer::claim_commit_reply>(peer::claim_commit_request)> commit_claims;
@@ -54,6 +61,17 @@
     /// Tells all members what this process has read back as the lease holder.
     void send(const peer::rollout_state& state);
 
+    /// Tells all working members what changed in the instance list.
+    void share(const peer::instance_changes& changes);
+    /// Asks a member for what changed in the instance list; a random one if none is given.
+    boost::asio::awaitable<std::optional<peer::instance_changes>>
+    fetch_instances(std::optional<membership::member_info> from, peer::instance_list_request wanted);
+
+    /// Joins through the next of the seeds of the settings, unless a member is known already.
+    boost::asio::awaitable<void> join_seed();
+    /// Sends a request to any entry process and returns its reply.
+    boost::asio::awaitable<std::optional<peer::message>> ask(membership::outgoing_message message);
+
     /// The member that holds a request, if any of them does.
     boost::asio::awaitable<std::optional<instance_id>> locate(request_id request);
     /// Hands a request to one member after another until one accepts it.
@@ -68,6 +86,7 @@
     boost::asio::awaitable<claims::holder_reply>
     query_claim(std::string holder, claims::claim_identity identity, claims::attempt_number attempt);
     [[nodiscard]] std::vector<membership::member_info> members() const { return m_members.members(); }
+    [[nodiscard]] std::vector<instance_id> working_members() const { return m_members.working_members(); }
     [[nodiscard]] peer::transport_counters counters() const;
 
     void receive(peer::frame datagram, peer::address from) override;
@@ -80,8 +99,8 @@
     boost::asio::awaitable<void> fetch_sheet(membership::member_table::known_sheet known);
     boost::asio::awaitable<void> exchange(membership::outgoing_message message);
     void carry_out(membership::member_output output);
-    void apply_loads(const peer::load_report& report);
-    void apply_load(const endpoint_id& endpoint, const peer::load_digest& load);
+    void apply_loads(const std::vector<membership::numbered_load>& loads);
+    void apply_load(const endpoint_id& endpoint, const membership::numbered_load& load);
     [[nodiscard]] quarantine_ports make_quarantine_ports();
     [[nodiscard]] std::vector<membership::member_info> working_peers() const;
     [[nodiscard]] std::vector<endpoint_id> own_endpoints() const;
@@ -95,11 +114,17 @@
     peer_callbacks m_callbacks;
     std::mt19937_64 m_random{std::random_device{}()};
     membership::member_table m_members;
+    membership::load_changes m_load_changes;
+    membership::load_repeats m_load_repeats;
     std::unique_ptr<peer::peer_transport> m_transport;
     claim_holders m_holders;
     quarantine_exchange m_quarantine;
     isolation_exchange m_isolation;
+    void note_missed_sheet(std::uint64_t version);
+
     bool m_fetching_sheet = false;
+    std::uint64_t m_missed_sheet = 0;
+    std::size_t m_next_seed = 0;
 };
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/platform_sync.cpp
+++ b/Services/siskinwharfd/src/platform_sync.cpp
@@ -5,11 +5,9 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "siskinwharf/base/event_log.h"
-#include "siskinwharf/sheet/poll_schedule.h"
 #include "siskinwharf/sheet/sheet_rows.h"
 #include "unix_time.h"
 
@@ -19,7 +17,6 @@
 
 namespace {
 
-constexpr milliseconds instance_poll_period{500};
 constexpr std::uint64_t seconds_per_hour = 3600;
 /// Time until a leaving endpoint is gone where nobody has said it. The shortest notice of the cloud API is
 /// seconds.
@@ -78,28 +75,26 @@
     return "unknown";
 }
 
-asio::awaitable<void> wait_until(monotonic_time time)
-{
-    asio::steady_timer timer(co_await asio::this_coro::executor, time);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 } // namespace
 
 platform_sync::platform_sync(asio::io_context& context, entry_core& core, http::client& client,
-                             observer watcher)
+                             instance_feed_ports peers, observer watcher)
     : m_context(context),
       m_core(core),
       m_observer(std::move(watcher)),
       m_table(client, access_of(core.settings)),
-      m_instances(client, access_of(core.settings))
+      m_instances(
+          context, core, client, std::move(peers),
+          [this](const std::vector<platform::instance_record>& records) { apply_instances(records); }),
+      m_sheet_schedule(now()),
+      m_sheet_timer(context)
 {
 }
 
 void platform_sync::start()
 {
     asio::co_spawn(m_context, poll_sheet(), asio::detached);
-    asio::co_spawn(m_context, poll_instances(), asio::detached);
+    m_instances.start();
 }
 
 void platform_sync::note_platform(bool answers)
@@ -141,29 +136,25 @@
 
 asio::awaitable<void> platform_sync::poll_sheet()
 {
-    sheet::poll_schedule schedule(now());
     while (true) {
-        co_await wait_until(schedule.next());
+        // An earlier time may have been set during the wait.
+        while (now() < m_sheet_schedule.next()) {
+            m_sheet_timer.expires_at(m_sheet_schedule.next());
+            co_await m_sheet_timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        }
         const bool answers = co_await fetch_sheet();
         note_platform(answers);
         if (answers)
-            schedule.on_answer(now(), m_random());
+            m_sheet_schedule.on_answer(now(), m_random());
         else
-            schedule.on_no_answer(now(), m_random());
+            m_sheet_schedule.on_no_answer(now(), m_random());
     }
 }
 
-asio::awaitable<void> platform_sync::poll_instances()
+void platform_sync::expedite_sheet()
 {
-    while (true) {
-        const auto result = co_await m_instances.read();
-        if (const auto* records = std::get_if<std::vector<platform::instance_record>>(&result)) {
-            apply_instances(*records);
-            m_core.endpoints_known.store(true, std::memory_order_relaxed);
-        }
-        const auto jitter = milliseconds(m_random() % 100);
-        co_await wait_until(now() + instance_poll_period + jitter);
-    }
+    m_sheet_schedule.expedite(now(), m_random());
+    m_sheet_timer.cancel();
 }
 
 void platform_sync::update_directory(const std::vector<platform::instance_record>& records)
@@ -240,6 +231,8 @@
 {
     std::map<endpoint_id, monotonic_time> leaving;
     for (const auto& [endpoint, state, source] : changes.events) {
+        // The routing table is corrected with the next list, which would not come while nothing else changes.
+        m_instances.request_list();
         if (state == peer::endpoint_state::live)
             continue;
         if (state == peer::endpoint_state::dead)
--- a/Services/siskinwharfd/src/platform_sync.h
+++ b/Services/siskinwharfd/src/platform_sync.h
@@ -8,12 +8,15 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "endpoint_versions.h"
 #include "entry_core.h"
+#include "instance_feed.h"
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/membership/endpoint_directory.h"
 #include "siskinwharf/platform/http_platform.h"
+#include "siskinwharf/sheet/poll_schedule.h"
 
 namespace siskinwharf::entry {
 
@@ -27,7 +30,7 @@
         std::function<void(std::map<endpoint_id, monotonic_time>)> on_leaving;
         /// Endpoints are no longer drained for a change of their version.
         std::function<void(std::set<endpoint_id>)> on_restored;
-        /// The instance list was read.
+        /// The instance list changed, or is handed out again.
         std::function<void(const std::vector<platform::instance_record>&)> on_instances;
         /// This process learned something about an endpoint that its peers should know at once.
         std::function<void(const std::vector<peer::endpoint_notice>&)> announce;
@@ -36,9 +39,13 @@
     };
 
     platform_sync(boost::asio::io_context& context, entry_core& core, http::client& client,
-                  observer observer);
+                  instance_feed_ports peers, observer observer);
 
     void start();
+    /// The instance list as this process shares it with its failure domain.
+    [[nodiscard]] instance_feed& instances() { return m_instances; }
+    /// Reads the sheet soon, because a newer one was announced.
+    void expedite_sheet();
     /// Takes in what a request found out. Must be called on the control thread.
     void report(const endpoint_id& endpoint, endpoint_report report);
     /// Takes in what peers know about endpoints.
@@ -54,7 +61,6 @@
 
 private:
     boost::asio::awaitable<void> poll_sheet();
-    boost::asio::awaitable<void> poll_instances();
     boost::asio::awaitable<bool> fetch_sheet();
     void apply_instances(const std::vector<platform::instance_record>& records);
     void note_platform(bool answers);
@@ -68,9 +74,11 @@
     entry_core& m_core;
     observer m_observer;
     platform::http_table_store m_table;
-    platform::http_instance_list m_instances;
+    instance_feed m_instances;
     std::mt19937_64 m_random{std::random_device{}()};
     bool m_platform_answers = true;
+    sheet::poll_schedule m_sheet_schedule;
+    boost::asio::steady_timer m_sheet_timer;
     membership::endpoint_directory m_directory;
     endpoint_versions m_versions;
     /// Endpoints of the own failure domain in the instance list.
