--- a/Services/siskinwharfd/tests/fake_engine.h
+++ b/Services/siskinwharfd/tests/fake_engine.h
@@ -28,6 +28,8 @@
     [[nodiscard]] unsigned short port() const { return m_server.port(); }
     [[nodiscard]] int streams() const { return m_streams; }
 
+    /// Reads the stream and closes the connection without a word.
+    static http::response no_answer() { return {no_answer_status, {}, {}}; }
     static http::response crash() { return {crash_status, {}, {}}; }
     static http::response whole_answer()
     {
@@ -39,12 +41,15 @@
 
 private:
     static constexpr int crash_status = -1;
+    static constexpr int no_answer_status = -2;
 
     boost::asio::awaitable<void> answer(http::request message, http::response_writer& writer)
     {
         http::response reply{404, {}, "{}"};
         if (message.method == "POST" && message.path == "/streams")
             reply = m_script(m_streams++);
+        if (reply.status == no_answer_status)
+            throw std::runtime_error("the engine closes the connection");
         if (reply.status == crash_status) {
             // Accepts the stream, sends one token, and loses the connection and its memory.
             std::vector<http::header_field> headers{{"Content-Type", "application/x-ndjson"}};
