Services: Fetch the sheet from another failure domain when the table is cut off

Cause: probes announce sheet versions within a failure domain only, so a domain that was cut from the platform as a whole kept its old sheet although other domains were reachable (P7).

Each second, a process whose last poll of the table failed asks a random entry process of another failure domain for the next version; a peer without it answers with an empty message, so this costs one small exchange a second, and only during an outage.

A second fault, found by reading: a process kept asking the first peer that announced a version, every 100 ms, although peers also announce versions of which they have no copy. If that peer froze or was cut off, a copy of another peer was never fetched. The version is now forgotten after a failed request, and the next announcement names the peer to ask. A unit test covers this.

--- a/Libraries/membership/include/siskinwharf/membership/member_table.h
+++ b/Libraries/membership/include/siskinwharf/membership/member_table.h
@@ -69,6 +69,10 @@
     /// The newest sheet of which a peer told, if it is newer than the one in force here.
     [[nodiscard]] std::optional<known_sheet> newer_sheet() const;
 
+    /// Forgets the newest sheet if it has this version: its holder could not provide it. The next peer that
+    /// tells of a newer sheet becomes its holder.
+    void forget_newer_sheet(std::uint64_t version);
+
     /// All members but this one, in any state; none that is only known from the instance list.
     [[nodiscard]] std::vector<member_info> members() const;
 
--- a/Libraries/membership/src/member_table.cpp
+++ b/Libraries/membership/src/member_table.cpp
@@ -244,6 +244,12 @@
     return m_newest_sheet;
 }
 
+void member_table::forget_newer_sheet(std::uint64_t version)
+{
+    if (m_newest_sheet.version == version)
+        m_newest_sheet = {};
+}
+
 std::vector<member_info> member_table::members() const
 {
     std::vector<member_info> result;
--- a/Libraries/membership/tests/member_table_test.cpp
+++ b/Libraries/membership/tests/member_table_test.cpp
@@ -327,4 +327,25 @@
     CHECK_FALSE(network.nodes[3].members.newer_sheet());
 }
 
+TEST_CASE("another peer provides a sheet that the one that announced it cannot provide")
+{
+    // Guards against asking one peer for ever that has no copy and is frozen or cut off.
+    virtual_network network(3, 0, 1);
+    auto& members = network.nodes[0].members;
+    std::mt19937_64 random(1);
+    const auto announced_by = [&](std::size_t index) {
+        peer::ping probe;
+        probe.news.sheet_version = 7;
+        (void)members.receive(network.now, random, virtual_network::id_of(index), {"127.0.0.1", 1}, probe);
+        return members.newer_sheet().value_or(member_table::known_sheet{}).holder;
+    };
+    CHECK(announced_by(1) == virtual_network::id_of(1));
+    CHECK(announced_by(2) == virtual_network::id_of(1));
+    members.forget_newer_sheet(6);
+    CHECK(members.newer_sheet());
+    members.forget_newer_sheet(7);
+    CHECK_FALSE(members.newer_sheet());
+    CHECK(announced_by(2) == virtual_network::id_of(2));
+}
+
 } // namespace siskinwharf::membership
--- a/Services/siskinwharfd/src/entry_core.h
+++ b/Services/siskinwharfd/src/entry_core.h
@@ -58,6 +58,8 @@
     std::atomic<bool> stopping{false};
     /// The instance list was read at least once.
     std::atomic<bool> endpoints_known{false};
+    /// The last poll of the sheet had an answer from the table.
+    std::atomic<bool> table_answers{true};
     /// Reports what a request found out about an endpoint to the control thread.
     std::function<void(const endpoint_id&, endpoint_report)> report_endpoint;
     /// Sends new entries of the quarantine to the other entry processes of the failure domain. Called on the
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -23,6 +23,9 @@
 constexpr milliseconds handover_timeout{2'000};
 constexpr milliseconds load_poll_period{500};
 constexpr milliseconds load_poll_timeout{1'000};
+/// With the 2.2 s until a poll of the table fails or finds a version, this leaves half of the 5 s in which an
+/// accepted sheet must be in force.
+constexpr milliseconds remote_sheet_poll_period{1'000};
 
 peer::address contact_of(const settings::socket_address& address)
 {
@@ -77,6 +80,7 @@
         std::make_unique<peer::peer_transport>(m_control.get_executor(), options, shared_from_this());
     asio::co_spawn(m_control, run_ticks(), asio::detached);
     asio::co_spawn(m_control, run_load_polls(), asio::detached);
+    asio::co_spawn(m_control, run_remote_sheet_polls(), asio::detached);
 }
 
 void peer_node::stop()
@@ -95,11 +99,15 @@
 void peer_node::apply_instances(const std::vector<platform::instance_record>& records)
 {
     std::vector<membership::listed_instance> listed;
+    m_remote_entries.clear();
     for (const auto& record : records) {
-        const bool is_peer = std::holds_alternative<platform::serves_entry>(record.serves) &&
-                             record.domain == m_core.settings.failure_domain && record.peer_port != 0;
-        if (is_peer)
-            listed.push_back({record.id, {record.address, record.peer_port}, record.leaving});
+        if (!std::holds_alternative<platform::serves_entry>(record.serves) || record.peer_port == 0)
+            continue;
+        const peer::address contact{record.address, record.peer_port};
+        if (record.domain == m_core.settings.failure_domain)
+            listed.push_back({record.id, contact, record.leaving});
+        else
+            m_remote_entries.emplace_back(record.id, contact);
     }
     carry_out(m_members.apply_instance_list(now(), listed));
 }
@@ -157,10 +165,34 @@
 {
     m_fetching_sheet = true;
     m_core.sheets.note_peer_version(known.version);
+    co_await ask_for_sheet(known);
+    m_fetching_sheet = false;
+    // A peer announces versions of which it has no copy yet. The next announcement may name one that has it.
+    if (m_core.sheets.version() < known.version)
+        m_members.forget_newer_sheet(known.version);
+}
+
+asio::awaitable<void> peer_node::run_remote_sheet_polls()
+{
+    asio::steady_timer timer(m_control);
+    while (true) {
+        timer.expires_after(remote_sheet_poll_period);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        // Probes stay within the failure domain. One that is cut from the platform as a whole learns of a new
+        // sheet only from another.
+        if (m_core.table_answers.load(std::memory_order_relaxed) || m_remote_entries.empty())
+            continue;
+        const auto& [holder, contact] = m_remote_entries[m_random() % m_remote_entries.size()];
+        membership::member_table::known_sheet next{m_core.sheets.version() + 1, holder, contact};
+        co_await ask_for_sheet(std::move(next));
+    }
+}
+
+asio::awaitable<void> peer_node::ask_for_sheet(membership::member_table::known_sheet known)
+{
     peer::message body = peer::sheet_request{known.version};
     auto result =
         co_await m_transport->request(known.holder, known.contact, std::move(body), request_timeout);
-    m_fetching_sheet = false;
     const auto* answer = std::get_if<peer::message>(&result);
     const auto* reply = answer != nullptr ? std::get_if<peer::sheet_reply>(answer) : nullptr;
     if (reply == nullptr || reply->version == 0)
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -63,7 +63,9 @@
     boost::asio::awaitable<void> run_ticks();
     boost::asio::awaitable<void> run_load_polls();
     boost::asio::awaitable<void> poll_load(endpoint_id endpoint, std::shared_ptr<peer::load_report> digest);
+    boost::asio::awaitable<void> run_remote_sheet_polls();
     boost::asio::awaitable<void> fetch_sheet(membership::member_table::known_sheet known);
+    boost::asio::awaitable<void> ask_for_sheet(membership::member_table::known_sheet known);
     boost::asio::awaitable<void> exchange(membership::outgoing_message message);
     void carry_out(membership::member_output output);
     void apply_loads(const peer::load_report& report);
@@ -80,6 +82,8 @@
     membership::member_table m_members;
     std::unique_ptr<peer::peer_transport> m_transport;
     bool m_fetching_sheet = false;
+    /// Entry processes of other failure domains, from the last instance list.
+    std::vector<std::pair<instance_id, peer::address>> m_remote_entries;
 };
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/platform_sync.cpp
+++ b/Services/siskinwharfd/src/platform_sync.cpp
@@ -106,6 +106,7 @@
     if (answers == m_platform_answers)
         return;
     m_platform_answers = answers;
+    m_core.table_answers.store(answers, std::memory_order_relaxed);
     log_event(answers ? event::platform_available : event::platform_unavailable, {{"service", "table"}});
 }
 
--- a/Tests/system/callers.py
+++ b/Tests/system/callers.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import threading
+import time
 
 MASK = (1 << 64) - 1
 
@@ -37,6 +38,49 @@
             "stream": stream}
 
 
+def read_events(answer, tokens):
+    """Appends the tokens of an event stream as they arrive. Returns whether the answer is complete; raises
+    RuntimeError if it ends with an error event."""
+    done = False
+    for line in answer:
+        if not line.startswith(b"data: "):
+            continue
+        if line.strip() == b"data: [DONE]":
+            done = True
+            continue
+        event = json.loads(line[len(b"data: "):])
+        if "error" in event:
+            raise RuntimeError(line.decode())
+        content = event["choices"][0]["delta"].get("content")
+        if content is not None:
+            tokens.append(content.strip())
+    return done
+
+
+def fetch(ports, key, request_id, offset, seconds=30):
+    """Fetches an answer from an offset on, as a caller does who lost the connection: it tries the entry processes in
+    turn and continues after what it has. Returns the tokens; raises TimeoutError if the answer stays incomplete."""
+    tokens, failure = [], None
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        for port in ports:
+            connection = http.client.HTTPConnection("127.0.0.1", port, timeout=15)
+            try:
+                connection.request("GET", f"/v1/requests/{request_id}?offset={offset + len(tokens)}",
+                                   headers={"Authorization": f"Bearer {key}"})
+                answer = connection.getresponse()
+                if answer.status != 200:
+                    failure = answer.read().decode()
+                elif read_events(answer, tokens):
+                    return tokens
+            except (OSError, http.client.HTTPException) as error:
+                failure = repr(error)
+            finally:
+                connection.close()
+        time.sleep(0.2)
+    raise TimeoutError(f"{request_id}: {len(tokens)} tokens from offset {offset} in {seconds} s; last: {failure}")
+
+
 class Stream(threading.Thread):
     """Reads one streamed answer to its end."""
 
@@ -44,6 +88,7 @@
         super().__init__(daemon=True)
         self.port, self.model, self.key, self.content, self.count = port, model, key, content, tokens
         self.tokens = []
+        self.request_id = None
         self.done = False
         self.error = None
         self.start()
@@ -51,11 +96,11 @@
     def run(self):
         try:
             self.read()
-        except (OSError, http.client.HTTPException) as error:
+        except (OSError, http.client.HTTPException, RuntimeError) as error:
             self.error = repr(error)
 
     def read(self):
-        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=60)
+        connection = http.client.HTTPConnection("127.0.0.1", self.port, timeout=90)
         connection.request("POST", "/v1/chat/completions",
                            json.dumps(chat_body(self.model, self.content, self.count, True)),
                            {"Content-Type": "application/json", "Authorization": f"Bearer {self.key}"})
@@ -63,17 +108,6 @@
         if answer.status != 200:
             self.error = answer.read().decode()
             return
-        for line in answer:
-            if not line.startswith(b"data: "):
-                continue
-            if line.strip() == b"data: [DONE]":
-                self.done = True
-                continue
-            event = json.loads(line[len(b"data: "):])
-            if "error" in event:
-                self.error = line.decode()
-                return
-            content = event["choices"][0]["delta"].get("content")
-            if content is not None:
-                self.tokens.append(content.strip())
+        self.request_id = answer.headers["Siskinwharf-Request-Id"]
+        self.done = read_events(answer, self.tokens)
         connection.close()
--- a/Tests/system/deployment.py
+++ b/Tests/system/deployment.py
@@ -99,7 +99,7 @@
     """A platform, endpoints and entry processes; a context manager that ends all of them."""
 
     def __init__(self, build="build", sheet="examples/cartline.csv", regions=("kingston", "montego", "ocho"),
-                 policy="prefix_affinity", recomputed_token_weight=0.5, keep=False):
+                 policy="prefix_affinity", recomputed_token_weight=0.5, keep=False, lease_ms=10000):
         self.bin = ROOT / build / "bin"
         self.sheet = ROOT / sheet
         self.regions = regions
@@ -107,6 +107,7 @@
         self.recomputed_token_weight = recomputed_token_weight
         self.directory = tempfile.mkdtemp(prefix="siskinwharf-")
         self.keep = keep
+        self.lease_ms = lease_ms
         self.processes = {}
         self.entries = {}
         self.endpoints = {}
@@ -170,7 +171,7 @@
             "[platform]", f'address = "127.0.0.1:{platform_port}"',
             "[routing]", f'policy = "{self.policy}"', f"recomputed_token_weight = {self.recomputed_token_weight}",
             "[limits]", "header_timeout_ms = 5000",
-            "[timing]", "stop_timeout_ms = 60000", ""])
+            "[timing]", "stop_timeout_ms = 60000", f"lease_duration_ms = {self.lease_ms}", ""])
 
     def start_entry(self, name, region, register=True):
         ports = self.entries[name]["ports"] if name in self.entries else free_ports(3)
--- a/Tests/system/scenario.py
+++ b/Tests/system/scenario.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import re
 import threading
 
 from deployment import Deployment, DeploymentError, http, wait_until
@@ -85,6 +86,23 @@
     return ",".join(f"127.0.0.1:{deployment.endpoints[name]}" for name in services(deployment))
 
 
+def entries_of(deployment, region):
+    return [name for name, entry in deployment.entries.items() if entry["region"] == region]
+
+
+def lease_tokens(deployment, entry):
+    """Fencing tokens with which the process has held the lease of its failure domain, in order."""
+    return [int(each) for each in re.findall(r"lease_acquired domain=\S+ fencing=(\d+)",
+                                             deployment.processes[entry].output())]
+
+
+def lease_holder(deployment, region):
+    """The process that acquired the lease last; waits until there is one."""
+    entries = entries_of(deployment, region)
+    wait_until(lambda: any(lease_tokens(deployment, each) for each in entries), 30, f"{region} has a lease holder")
+    return max(entries, key=lambda each: max(lease_tokens(deployment, each), default=0))
+
+
 class EngineCounters:
     """Counters of the engines, with those of engines that have ended as they were read last."""
 
--- a/Tests/system/system_test.py
+++ b/Tests/system/system_test.py
@@ -1,7 +1,9 @@
 """Base of the system tests: one deployment of the Cartline example for each test."""
 
 import os
+import pathlib
 import unittest
+import uuid
 
 import callers
 import scenario
@@ -16,10 +18,13 @@
 
 
 class SystemTest(unittest.TestCase):
-    def deploy(self, **options):
-        deployment = scenario.create(CARTLINE, build=BUILD)
+    def deploy(self, lease_ms=10000, engine_options=(), sheet_edit=None, **options):
+        """Starts the deployment; `sheet_edit` is a text of the sheet and what replaces it."""
+        deployment = scenario.create(CARTLINE, build=BUILD, lease_ms=lease_ms)
         self.addCleanup(deployment.__exit__)
-        scenario.start(deployment, CARTLINE, engine_options=SLOW_ENGINE, **options)
+        if sheet_edit:
+            deployment.sheet = self.edited_sheet(deployment, *sheet_edit)
+        scenario.start(deployment, CARTLINE, engine_options=(*SLOW_ENGINE, *engine_options), **options)
         return deployment
 
     def port(self, deployment, entry):
@@ -54,3 +59,16 @@
         for name in scenario.services(deployment):
             total += deployment.processes[name].output().count(f"executed /orders {key}\n")
         return total
+
+    def edited_sheet(self, deployment, old, new):
+        text = deployment.sheet.read_text()
+        self.assertIn(old, text)
+        path = pathlib.Path(deployment.directory) / f"{uuid.uuid4()}.csv"
+        path.write_text(text.replace(old, new))
+        return path
+
+    def changed_sheet(self, deployment, share):
+        return self.edited_sheet(deployment, ",4,,,,,", f",{share},,,,,")
+
+    def versions(self, deployment):
+        return [deployment.status(name)["sheet_version"] for name in deployment.entries]
--- a/Tests/system/test_sheets.py
+++ b/Tests/system/test_sheets.py
@@ -1,7 +1,6 @@
 """P7: exactly one operator wins, and the accepted sheet is in force everywhere within 5 s."""
 
 import json
-import pathlib
 import time
 import unittest
 from concurrent.futures import ThreadPoolExecutor
@@ -11,14 +10,6 @@
 
 
 class Sheets(SystemTest):
-    def changed_sheet(self, deployment, share):
-        path = pathlib.Path(deployment.directory) / f"share-{share}.csv"
-        path.write_text(deployment.sheet.read_text().replace(",4,,,,,", f",{share},,,,,"))
-        return path
-
-    def versions(self, deployment):
-        return [deployment.status(name)["sheet_version"] for name in deployment.entries]
-
     def test_two_operators(self):
         """P7: guards against two accepted sheets of the same base, and against slow propagation."""
         deployment = self.deploy(entries=3)
