--- a/Tests/system/test_planned_stop.py
+++ b/Tests/system/test_planned_stop.py
@@ -1,21 +1,64 @@
 """P6: a planned stop of an entry process interrupts no request."""
 
 import signal
+import threading
 import unittest
 
+import scenario
 from system_test import SystemTest
 
+ENTRY = "entry-kingston-1"
+PARTS = ("table", "objects", "instances", "cloud")
+FAULTS = {
+    "platform_slow": {"slow_ms": 3000, **dict.fromkeys(PARTS, "slow")},
+    "platform_hangs": dict.fromkeys(PARTS, "hang"),
+    "platform_down": dict.fromkeys(PARTS, "down"),
+    "cut_from_platform": {"reject_sources": [ENTRY]},
+    "answers_lost": {"lose_answers": 1000},
+}
+
 
 class PlannedStop(SystemTest):
-    def test_stop_during_streams(self):
-        """P6: guards against a stop that cuts answers or never ends."""
-        deployment = self.deploy()
-        streams = self.start_streams(deployment, ["entry-kingston-1"], 6)
-        process = deployment.processes["entry-kingston-1"]
+    def stop_during_requests(self, faults):
+        deployment = self.deploy(service_options=("--work-ms", 1500))
+        streams = self.start_streams(deployment, [ENTRY], 6)
+        answers = []
+        call = threading.Thread(target=lambda: answers.append(self.order(deployment, ENTRY, "stopping")))
+        call.start()
+        threading.Event().wait(0.5)
+        if faults:
+            self.faults(deployment, **faults)
+        process = deployment.processes[ENTRY]
         process.signal(signal.SIGTERM)
         self.assert_whole(streams)
+        call.join(30)
+        self.assertEqual([status for status, _ in answers], [200], answers)
+        self.assertEqual(self.executions(deployment, "stopping"), 1)
         self.assertEqual(process.handle.wait(30), 0)
 
+    def test_stop_during_streams(self):
+        """P6: guards against a stop that cuts answers or never ends."""
+        self.stop_during_requests({})
+
+    def test_peer_killed_or_frozen(self):
+        """P6: guards against a stop that waits for a peer that does not answer."""
+        for loss in (signal.SIGKILL, signal.SIGSTOP):
+            with self.subTest(loss=loss.name):
+                deployment = self.deploy(entries=2)
+                deployment.processes["entry-kingston-2"].signal(loss)
+                streams = self.start_streams(deployment, [ENTRY], 4)
+                deployment.processes[ENTRY].signal(signal.SIGTERM)
+                self.assert_whole(streams)
+                self.assertEqual(deployment.processes[ENTRY].handle.wait(30), 0)
+
+
+def add_cases():
+    """P6: guards against a stop that needs the platform."""
+    for name, faults in FAULTS.items():
+        setattr(PlannedStop, f"test_{name}", lambda self, faults=faults: self.stop_during_requests(faults))
+
+
+add_cases()
 
 if __name__ == "__main__":
     unittest.main()
