Services: Look for a stream at the engines of other failure domains too

Cause: when the engines of a failure domain are reclaimed, its streams move to another domain.

The engines of the own failure domain are asked first.

--- a/Services/siskinwharfd/src/caller_api.cpp
+++ b/Services/siskinwharfd/src/caller_api.cpp
@@ -26,6 +26,8 @@
 constexpr milliseconds longest_deadline{600'000};
 constexpr std::size_t longest_request_id = 64;
 constexpr std::size_t longest_idempotency_key = 256;
+/// An engine answers a query for a stream at once; one that does not is frozen or cut off.
+constexpr milliseconds engine_query_timeout{2'000};
 constexpr std::string_view services_prefix = "/services/";
 
 std::optional<std::uint64_t> parse_number(std::string_view text)
@@ -356,18 +358,20 @@
         const routing::rcu_read_section section;
         for (const auto& [endpoint, entry] : m_core.table.read(section).endpoints) {
             const auto* model = std::get_if<routing::model_target>(&entry.info->serves);
-            if (model != nullptr && sheet.find_grant(account, model->model.value()) != nullptr &&
-                entry.info->domain == m_core.settings.failure_domain)
+            if (model != nullptr && sheet.find_grant(account, model->model.value()) != nullptr)
                 candidates.push_back(entry.info);
         }
     }
+    // A stream that was moved on a reclaim can run in another failure domain.
+    std::partition(candidates.begin(), candidates.end(),
+                   [&](const auto& endpoint) { return endpoint->domain == m_core.settings.failure_domain; });
     const auto path = "/streams/" + http::percent_encode(request_key(account, id));
     for (const auto& endpoint : candidates) {
         http::request query{"GET", path, "offset=" + std::to_string(offset), {}, ""};
         const http::address target{endpoint->address, endpoint->port};
         std::unique_ptr<http::line_stream> stream;
         try {
-            stream = co_await m_worker.client().open(target, std::move(query), relay_timeout);
+            stream = co_await m_worker.client().open(target, std::move(query), engine_query_timeout);
         } catch (const http::call_error&) {
             continue;
         }
