Settings: Let peers reach a process at another address than it listens on

The instance list and probes told peers the address of listen.peers. Behind an address translation, or with a relay in a test, peers must be told another one: peers.advertise. Without it nothing changes.

--- a/Libraries/settings/include/siskinwharf/settings/settings.h
+++ b/Libraries/settings/include/siskinwharf/settings/settings.h
@@ -53,6 +53,8 @@
     region_id region;
     listen_settings listen;
     std::vector<socket_address> peer_seeds;
+    /// Where peers reach this process, if not at `listen.peers`.
+    std::optional<socket_address> advertised_to_peers;
     std::string peer_key; ///< 32 raw bytes; authenticates messages between entry processes.
     socket_address platform;
     std::uint32_t threads = 2;
--- a/Libraries/settings/src/load_settings.cpp
+++ b/Libraries/settings/src/load_settings.cpp
@@ -153,6 +153,7 @@
             if (const auto parsed = parse_socket_address(seed))
                 m_value.peer_seeds.push_back(*parsed);
         }
+        m_value.advertised_to_peers = parse_socket_address(table.text_or("advertise", address_rule, ""));
         m_value.peer_key = decode_hex(table.text("key", key_rule));
         table.refuse_unknown_keys();
     }
--- a/Libraries/settings/tests/settings_test.cpp
+++ b/Libraries/settings/tests/settings_test.cpp
@@ -48,6 +48,10 @@
     CHECK(value.peer_key[31] == '\x1f');
     CHECK(value.recomputed_token_weight == 0.3);
     CHECK_FALSE(value.tls);
+    CHECK_FALSE(value.advertised_to_peers);
+    const settings translated =
+        load_settings(replaced(example(), "key = \"0001", "advertise = \"10.0.0.1:9081\"\nkey = \"0001"));
+    CHECK(translated.advertised_to_peers == socket_address{.ip = "10.0.0.1", .port = 9081});
     const settings with_tls =
         load_settings(example() + "[tls]\ncertificate = \"c.pem\"\nprivate_key = \"k.pem\"\n");
     CHECK(with_tls.tls == tls_settings{.certificate = "c.pem", .private_key = "k.pem"});
@@ -74,6 +78,7 @@
         {"127.0.0.1:8082", "127.0.0.1:8081", 12, "listen.admin"},
         {"\"127.0.0.1:9081\"", "7", 15, "peers.seeds"},
         {"key = \"0001", "key = \"0g01", 17, "peers.key"},
+        {"key = \"0001", "advertise = \"0.0.0.0\"\nkey = \"0001", 17, "peers.advertise"},
         {"[platform]", "[platfrom]", 0, "platform.address"},
         {"[platform]", "[platfrom]", 19, "platfrom"},
         {"\"prefix_affinity\"", "\"random\"", 23, "routing.policy"},
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -63,7 +63,8 @@
       m_client(client),
       m_committer(committer),
       m_callbacks(std::move(callbacks)),
-      m_members(membership::member_options{}, core.settings.instance, contact_of(core.settings.listen.peers),
+      m_members(membership::member_options{}, core.settings.instance,
+                contact_of(core.settings.advertised_to_peers.value_or(core.settings.listen.peers)),
                 unix_milliseconds())
 {
 }
