Tests: Cut entry processes from their peers

A relay forwards TCP and UDP between entry processes and drops what comes from or goes to the processes that a test isolates. Cases: streams and calls while cut from peers, also with a reclaim, a killed process and lost answers (P1 to P4); leaving endpoints (P5); a planned stop (P6); a sheet (P7). Further cases: streams that were moved to another failure domain, whose entry process then dies; a sheet for a process whose peers are killed and frozen; a planned stop with peers killed and frozen.

--- a/Tests/system/deployment.py
+++ b/Tests/system/deployment.py
@@ -113,11 +113,14 @@
         self.endpoints = {}
         self.billed = {}
         self.platform_port = None
+        self.relay = None
 
     def __enter__(self):
         return self
 
     def __exit__(self, *_):
+        if self.relay:
+            self.relay.stop()
         for process in self.processes.values():
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGTERM)
@@ -162,12 +165,12 @@
                              "serves": {"service": service}, "capacity": 64, "price_microcents_per_second": 100,
                              "reclaimable": False, "class": "cpu-small"})
 
-    def settings_text(self, name, region, ports, platform_port):
+    def settings_text(self, name, region, ports, platform_port, peer_port):
         return "\n".join([
             "[instance]", f'id = "{name}"', f'failure_domain = "{region}-a"', f'region = "{region}"', "threads = 2",
             "[listen]", f'callers = "127.0.0.1:{ports[0]}"', f'peers = "127.0.0.1:{ports[1]}"',
             f'admin = "127.0.0.1:{ports[2]}"',
-            "[peers]", f'key = "{PEER_KEY}"',
+            "[peers]", f'key = "{PEER_KEY}"', f'advertise = "127.0.0.1:{peer_port}"',
             "[platform]", f'address = "127.0.0.1:{platform_port}"',
             "[routing]", f'policy = "{self.policy}"', f"recomputed_token_weight = {self.recomputed_token_weight}",
             "[limits]", "header_timeout_ms = 5000",
@@ -176,11 +179,12 @@
     def start_entry(self, name, region, register=True):
         ports = self.entries[name]["ports"] if name in self.entries else free_ports(3)
         path = pathlib.Path(self.directory) / f"{name}.toml"
-        path.write_text(self.settings_text(name, region, ports, self.platform_port))
+        peer_port = self.relay.add(name, ports[1]) if self.relay else ports[1]
+        path.write_text(self.settings_text(name, region, ports, self.platform_port, peer_port))
         self.spawn(name, self.bin / "siskinwharfd", path)
         self.entries[name] = {"ports": ports, "region": region}
         if register:
-            self.register(name, {"kind": "entry", "port": ports[0], "peer_port": ports[1],
+            self.register(name, {"kind": "entry", "port": ports[0], "peer_port": peer_port,
                                  "failure_domain": f"{region}-a", "region": region})
 
     def submit(self, sheet=None, *arguments):
--- a/Tests/system/system_test.py
+++ b/Tests/system/system_test.py
@@ -8,6 +8,7 @@
 import callers
 import scenario
 from deployment import http, wait_until
+from peer_relay import PeerRelay
 from scenario import CARTLINE
 
 BUILD = os.environ.get("SISKINWHARF_BUILD", "build")
@@ -18,10 +19,12 @@
 
 
 class SystemTest(unittest.TestCase):
-    def deploy(self, lease_ms=10000, engine_options=(), sheet_edit=None, **options):
+    def deploy(self, lease_ms=10000, engine_options=(), sheet_edit=None, relay=False, **options):
         """Starts the deployment; `sheet_edit` is a text of the sheet and what replaces it."""
         deployment = scenario.create(CARTLINE, build=BUILD, lease_ms=lease_ms)
         self.addCleanup(deployment.__exit__)
+        if relay:
+            deployment.relay = PeerRelay()
         if sheet_edit:
             deployment.sheet = self.edited_sheet(deployment, *sheet_edit)
         scenario.start(deployment, CARTLINE, engine_options=(*SLOW_ENGINE, *engine_options), **options)
--- a/Tests/system/test_cut_from_platform.py
+++ b/Tests/system/test_cut_from_platform.py
@@ -1,5 +1,6 @@
-"""Entry processes cut from the platform serve what they can and get the newest sheet from peers."""
+"""P7 under faults. Entry processes cut from the platform serve what they can and get the newest sheet from peers."""
 
+import signal
 import time
 import unittest
 
@@ -37,6 +38,27 @@
         self.assert_serves_without_platform(deployment, cut)
         self.assert_sheet_spreads(deployment)
 
+    def test_cut_from_peers(self):
+        """P7: guards against a process that gets new sheets from peers only."""
+        deployment = self.deploy(relay=True, entries=2)
+        deployment.relay.isolate(deployment.entries)
+        self.assert_sheet_spreads(deployment)
+
+    def test_process_killed_and_frozen(self):
+        """P7: guards against processes that wait for a peer that does not answer. A frozen process is not reachable;
+        it has the 5 s from when it runs again, and goes on from its older sheet."""
+        deployment = self.deploy(entries=3)
+        first, second, cut = scenario.entries_of(deployment, REGION)
+        self.faults(deployment, reject_sources=[cut])
+        deployment.processes[first].signal(signal.SIGKILL)
+        deployment.processes[second].signal(signal.SIGSTOP)
+        del deployment.entries[first]
+        frozen = deployment.entries.pop(second)
+        self.assert_sheet_spreads(deployment)
+        deployment.entries[second] = frozen
+        deployment.processes[second].signal(signal.SIGCONT)
+        wait_until(lambda: set(self.versions(deployment)) == {2}, 5, "version 2 is in force at the frozen process")
+
     def test_failure_domain(self):
         """Guards against a failure domain that stays with its sheet while other domains have a newer one."""
         deployment = self.deploy(entries=3)
--- a/Tests/system/test_entry_faults.py
+++ b/Tests/system/test_entry_faults.py
@@ -72,7 +72,21 @@
             raise RuntimeError(f"{name} does not ignore the token: {status} {text}")
 
 
+def isolate(deployment, victim):
+    deployment.relay.isolate(scenario.entries_of(deployment, REGION))
+
+
+def reconnect(deployment, victim):
+    """The cut must have been noticed; otherwise the case shows nothing."""
+    entries = scenario.entries_of(deployment, REGION)
+    wait_until(lambda: any("peer_suspected" in deployment.processes[each].output() for each in entries), 20,
+               "a process misses its peer")
+    deployment.relay.isolate([])
+
+
 KILL = Fault(to_victim(signal.SIGKILL), loses_victim=True, kills_victim=True)
+KILL_LATER = Fault(lambda deployment, victim: (time.sleep(2.5), KILL.begin(deployment, victim)), loses_victim=True,
+                   kills_victim=True)
 FREEZE = Fault(to_victim(signal.SIGSTOP), wait_for_successor, loses_victim=True)
 FREEZE_60 = Fault(to_victim(signal.SIGSTOP), lambda deployment, victim: (time.sleep(max(
     0, 60 - (time.monotonic() - deployment.fault_began))), wait_for_successor(deployment, victim)), loses_victim=True)
@@ -81,6 +95,7 @@
 HANG = Fault(platform(**dict.fromkeys(ALL_PARTS, "hang")), platform(**dict.fromkeys(ALL_PARTS, "up")))
 LOSE = Fault(platform(lose_answers=1000), platform(lose_answers=0))
 RECLAIM = Fault(reclaim_engines)
+CUT_PEERS = Fault(isolate, reconnect)
 STALE_ORDER = Fault(lambda deployment, victim: None, stale_order)
 FENCING_IGNORED = {"engine_options": ("--fencing", "ignored"), "sheet_edit": (",checked,", ",ignored,")}
 
@@ -89,9 +104,15 @@
     "entry_frozen": (FREEZE,),
     "entry_frozen_60s": (FREEZE_60,),
     "cut_from_platform_and_reclaim": (CUT, RECLAIM),
+    "cut_from_peers": (CUT_PEERS,),
+    "cut_from_peers_and_reclaim": (CUT_PEERS, RECLAIM),
+    "cut_from_peers_and_entry_killed": (CUT_PEERS, KILL),
+    "cut_from_peers_and_answers_lost": (CUT_PEERS, LOSE),
     "answers_lost_and_reclaim": (LOSE, RECLAIM),
     "platform_slow_and_reclaim": (SLOW, RECLAIM),
     "platform_hangs_and_reclaim": (HANG, RECLAIM),
+    # The engines have left by then, so the streams run in another failure domain.
+    "reclaim_then_entry_killed": (RECLAIM, KILL_LATER),
     "entry_killed_and_answers_lost": (KILL, LOSE),
     "entry_frozen_and_cut_from_platform": (FREEZE, Fault(
         lambda deployment, victim: platform(reject_sources=[victim])(deployment, victim),
@@ -101,7 +122,7 @@
 }
 
 
-class EntryFaults(SystemTest):
+class FaultCase(SystemTest):
     def call(self, deployment, answers, entry, key):
         """Sends a non-idempotent call and notes its outcome: `ran`, `not_run`, or anything else."""
         try:
@@ -146,7 +167,7 @@
 
     def run_case(self, faults):
         deployment = self.deploy(lease_ms=LEASE_MS, engines=2, entries=2, service_options=("--work-ms", 1500),
-                                 **(FENCING_IGNORED if STALE_ORDER in faults else {}))
+                                 relay=CUT_PEERS in faults, **(FENCING_IGNORED if STALE_ORDER in faults else {}))
         victim = scenario.lease_holder(deployment, REGION)
         entries = list(deployment.entries)
         lost = {victim} if any(each.loses_victim for each in faults) else set()
@@ -183,9 +204,18 @@
         self.assert_whole(self.start_streams(deployment, alive, len(alive)))
 
 
+class FrozenEntry(FaultCase):
+    """The cases with a frozen process, which take as long as the others together."""
+
+
+class EntryFaults(FaultCase):
+    """All other cases."""
+
+
 def add_cases():
     for name, faults in CASES.items():
-        setattr(EntryFaults, f"test_{name}", lambda self, faults=faults: self.run_case(faults))
+        suite = FrozenEntry if "frozen" in name else EntryFaults
+        setattr(suite, f"test_{name}", lambda self, faults=faults: self.run_case(faults))
 
 
 add_cases()
--- a/Tests/system/test_leaving_endpoint.py
+++ b/Tests/system/test_leaving_endpoint.py
@@ -48,6 +48,13 @@
         self.faults(deployment, reject_sources=[cut])
         self.assert_no_new_work(deployment, self.reclaim(deployment), scenario.entries_of(deployment, "kingston"))
 
+    def test_failure_domain_cut_from_peers(self):
+        """P5: guards against a process that learns of a reclaim only from the lease holder."""
+        deployment = self.deploy(engines=2, entries=2, relay=True)
+        entries = scenario.entries_of(deployment, "kingston")
+        deployment.relay.isolate(entries)
+        self.assert_no_new_work(deployment, self.reclaim(deployment), entries)
+
     def lose_holder(self, loss):
         """Loses the lease holder, then reclaims. Returns the deployment, the holder and the leaving engines."""
         deployment = self.deploy(engines=2, entries=2)
--- a/Tests/system/test_planned_stop.py
+++ b/Tests/system/test_planned_stop.py
@@ -40,16 +40,25 @@
         """P6: guards against a stop that cuts answers or never ends."""
         self.stop_during_requests({})
 
-    def test_peer_killed_or_frozen(self):
+    def test_peers_killed_and_frozen(self):
         """P6: guards against a stop that waits for a peer that does not answer."""
-        for loss in (signal.SIGKILL, signal.SIGSTOP):
-            with self.subTest(loss=loss.name):
-                deployment = self.deploy(entries=2)
-                deployment.processes["entry-kingston-2"].signal(loss)
-                streams = self.start_streams(deployment, [ENTRY], 4)
-                deployment.processes[ENTRY].signal(signal.SIGTERM)
-                self.assert_whole(streams)
-                self.assertEqual(deployment.processes[ENTRY].handle.wait(30), 0)
+        deployment = self.deploy(entries=3)
+        deployment.processes["entry-kingston-2"].signal(signal.SIGKILL)
+        deployment.processes["entry-kingston-3"].signal(signal.SIGSTOP)
+        streams = self.start_streams(deployment, [ENTRY], 4)
+        deployment.processes[ENTRY].signal(signal.SIGTERM)
+        self.assert_whole(streams)
+        self.assertEqual(deployment.processes[ENTRY].handle.wait(30), 0)
+
+
+    def test_cut_from_peers(self):
+        """P6: guards against a stop that waits for peers that it cannot reach."""
+        deployment = self.deploy(entries=2, relay=True)
+        streams = self.start_streams(deployment, [ENTRY], 4)
+        deployment.relay.isolate([ENTRY])
+        deployment.processes[ENTRY].signal(signal.SIGTERM)
+        self.assert_whole(streams)
+        self.assertEqual(deployment.processes[ENTRY].handle.wait(30), 0)
 
 
 def add_cases():
