--- a/Services/siskinwharfd/src/entry_core.h
+++ b/Services/siskinwharfd/src/entry_core.h
@@ -65,6 +65,8 @@
     /// Version of the instance list here, and whether this process reads it for its failure domain.
     std::atomic<std::uint64_t> instance_list_version{0};
     std::atomic<bool> reads_instance_list{false};
+    /// The last poll of the sheet had an answer from the table.
+    std::atomic<bool> table_answers{true};
     /// Reports what a request found out about an endpoint to the control thread.
     std::function<void(const endpoint_id&, endpoint_report)> report_endpoint;
     /// Sends new entries of the quarantine to the other entry processes of the failure domain. Called on the
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -28,6 +28,9 @@
 /// The whole list at full size has about 300 KB.
 constexpr milliseconds instance_list_timeout{2'000};
 constexpr milliseconds load_poll_timeout{1'000};
+/// With the 2.2 s until a poll of the table fails or finds a version, this leaves half of the 5 s in which an
+/// accepted sheet must be in force.
+constexpr milliseconds remote_sheet_poll_period{1'000};
 
 peer::address contact_of(const settings::socket_address& address)
 {
@@ -65,7 +68,8 @@
       m_client(client),
       m_committer(committer),
       m_callbacks(std::move(callbacks)),
-      m_members(membership::member_options{}, core.settings.instance, contact_of(core.settings.listen.peers),
+      m_members(membership::member_options{}, core.settings.instance,
+                contact_of(core.settings.advertised_to_peers.value_or(core.settings.listen.peers)),
                 unix_milliseconds()),
       m_holders([this](instance_id holder, peer::address contact, peer::message body, milliseconds timeout) {
           return request_once(std::move(holder), std::move(contact), std::move(body), timeout);
@@ -90,6 +94,7 @@
     asio::co_spawn(m_control, run_load_polls(), asio::detached);
     m_quarantine.start();
     m_isolation.start();
+    asio::co_spawn(m_control, run_remote_sheet_polls(), asio::detached);
 }
 
 void peer_node::stop()
@@ -109,11 +114,15 @@
 {
     m_holders.update(records);
     std::vector<membership::listed_instance> listed;
+    m_remote_entries.clear();
     for (const auto& record : records) {
-        const bool is_peer = std::holds_alternative<platform::serves_entry>(record.serves) &&
-                             record.domain == m_core.settings.failure_domain && record.peer_port != 0;
-        if (is_peer)
-            listed.push_back({record.id, {record.address, record.peer_port}, record.leaving});
+        if (!std::holds_alternative<platform::serves_entry>(record.serves) || record.peer_port == 0)
+            continue;
+        const peer::address contact{record.address, record.peer_port};
+        if (record.domain == m_core.settings.failure_domain)
+            listed.push_back({record.id, contact, record.leaving});
+        else
+            m_remote_entries.emplace_back(record.id, contact);
     }
     m_quarantine.set_listed_peers(std::ranges::count_if(listed, [this](const auto& each) {
         return each.instance != m_core.settings.instance && !each.leaving;
@@ -180,10 +189,34 @@
 {
     m_fetching_sheet = true;
     m_core.sheets.note_peer_version(known.version);
+    co_await ask_for_sheet(known);
+    m_fetching_sheet = false;
+    // A peer announces versions of which it has no copy yet. The next announcement may name one that has it.
+    if (m_core.sheets.version() < known.version)
+        m_members.forget_newer_sheet(known.version);
+}
+
+asio::awaitable<void> peer_node::run_remote_sheet_polls()
+{
+    asio::steady_timer timer(m_control);
+    while (true) {
+        timer.expires_after(remote_sheet_poll_period);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        // Probes stay within the failure domain. One that is cut from the platform as a whole learns of a new
+        // sheet only from another.
+        if (m_core.table_answers.load(std::memory_order_relaxed) || m_remote_entries.empty())
+            continue;
+        const auto& [holder, contact] = m_remote_entries[m_random() % m_remote_entries.size()];
+        membership::member_table::known_sheet next{m_core.sheets.version() + 1, holder, contact};
+        co_await ask_for_sheet(std::move(next));
+    }
+}
+
+asio::awaitable<void> peer_node::ask_for_sheet(membership::member_table::known_sheet known)
+{
     peer::message body = peer::sheet_request{known.version};
     auto result =
         co_await m_transport->request(known.holder, known.contact, std::move(body), request_timeout);
-    m_fetching_sheet = false;
     const auto* answer = std::get_if<peer::message>(&result);
     const auto* reply = answer != nullptr ? std::get_if<peer::sheet_reply>(answer) : nullptr;
     if (reply == nullptr || reply->version == 0) {
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -96,7 +96,9 @@
     boost::asio::awaitable<void> run_ticks();
     boost::asio::awaitable<void> run_load_polls();
     boost::asio::awaitable<void> poll_load(endpoint_id endpoint, std::shared_ptr<peer::load_report> digest);
+    boost::asio::awaitable<void> run_remote_sheet_polls();
     boost::asio::awaitable<void> fetch_sheet(membership::member_table::known_sheet known);
+    boost::asio::awaitable<void> ask_for_sheet(membership::member_table::known_sheet known);
     boost::asio::awaitable<void> exchange(membership::outgoing_message message);
     void carry_out(membership::member_output output);
     void apply_loads(const std::vector<membership::numbered_load>& loads);
@@ -125,6 +127,8 @@
     bool m_fetching_sheet = false;
     std::uint64_t m_missed_sheet = 0;
     std::size_t m_next_seed = 0;
+    /// Entry processes of other failure domains, from the last instance list.
+    std::vector<std::pair<instance_id, peer::address>> m_remote_entries;
 };
 
 } // namespace siskinwharf::entry
--- a/Tests/system/deployment.py
+++ b/Tests/system/deployment.py
@@ -99,7 +99,7 @@
     """A platform, endpoints and entry processes; a context manager that ends all of them."""
 
     def __init__(self, build="build", sheet="examples/cartline.csv", regions=("kingston", "montego", "ocho"),
-                 policy="prefix_affinity", recomputed_token_weight=0.5, keep=False):
+                 policy="prefix_affinity", recomputed_token_weight=0.5, keep=False, lease_ms=10000):
         self.bin = ROOT / build / "bin"
         self.sheet = ROOT / sheet
         self.regions = regions
@@ -107,16 +107,20 @@
         self.recomputed_token_weight = recomputed_token_weight
         self.directory = tempfile.mkdtemp(prefix="siskinwharf-")
         self.keep = keep
+        self.lease_ms = lease_ms
         self.processes = {}
         self.entries = {}
         self.endpoints = {}
         self.billed = {}
         self.platform_port = None
+        self.relay = None
 
     def __enter__(self):
         return self
 
     def __exit__(self, *_):
+        if self.relay:
+            self.relay.stop()
         for process in self.processes.values():
             process.signal(signal.SIGCONT)
             process.signal(signal.SIGTERM)
@@ -161,25 +165,27 @@
                              "serves": {"service": service}, "capacity": 64, "price_microcents_per_second": 100,
                              "reclaimable": False, "class": "cpu-small"})
 
-    def settings_text(self, name, region, ports, platform_port, seeds=()):
+    def settings_text(self, name, region, ports, platform_port, peer_port, seeds=()):
         return "\n".join([
             "[instance]", f'id = "{name}"', f'failure_domain = "{region}-a"', f'region = "{region}"', "threads = 2",
             "[listen]", f'callers = "127.0.0.1:{ports[0]}"', f'peers = "127.0.0.1:{ports[1]}"',
             f'admin = "127.0.0.1:{ports[2]}"',
-            "[peers]", f'key = "{PEER_KEY}"', f"seeds = {json.dumps(list(seeds))}",
+            "[peers]", f'key = "{PEER_KEY}"', f'advertise = "127.0.0.1:{peer_port}"',
+            f"seeds = {json.dumps(list(seeds))}",
             "[platform]", f'address = "127.0.0.1:{platform_port}"',
             "[routing]", f'policy = "{self.policy}"', f"recomputed_token_weight = {self.recomputed_token_weight}",
             "[limits]", "header_timeout_ms = 5000",
-            "[timing]", "stop_timeout_ms = 60000", ""])
+            "[timing]", "stop_timeout_ms = 60000", f"lease_duration_ms = {self.lease_ms}", ""])
 
     def start_entry(self, name, region, register=True, seeds=()):
         ports = self.entries[name]["ports"] if name in self.entries else free_ports(3)
         path = pathlib.Path(self.directory) / f"{name}.toml"
-        path.write_text(self.settings_text(name, region, ports, self.platform_port, seeds))
+        peer_port = self.relay.add(name, ports[1]) if self.relay else ports[1]
+        path.write_text(self.settings_text(name, region, ports, self.platform_port, peer_port, seeds))
         self.spawn(name, self.bin / "siskinwharfd", path)
         self.entries[name] = {"ports": ports, "region": region}
         if register:
-            self.register(name, {"kind": "entry", "port": ports[0], "peer_port": ports[1],
+            self.register(name, {"kind": "entry", "port": ports[0], "peer_port": peer_port,
                                  "failure_domain": f"{region}-a", "region": region})
 
     def submit(self, sheet=None, *arguments):
--- a/Tests/system/system_test.py
+++ b/Tests/system/system_test.py
@@ -1,11 +1,14 @@
 """Base of the system tests: one deployment of the Cartline example for each test."""
 
 import os
+import pathlib
 import unittest
+import uuid
 
 import callers
 import scenario
 from deployment import http, wait_until
+from peer_relay import PeerRelay
 from scenario import CARTLINE
 
 BUILD = os.environ.get("SISKINWHARF_BUILD", "build")
@@ -16,10 +19,15 @@
 
 
 class SystemTest(unittest.TestCase):
-    def deploy(self, **options):
-        deployment = scenario.create(CARTLINE, build=BUILD)
+    def deploy(self, lease_ms=10000, engine_options=(), sheet_edit=None, relay=False, **options):
+        """Starts the deployment; `sheet_edit` is a text of the sheet and what replaces it."""
+        deployment = scenario.create(CARTLINE, build=BUILD, lease_ms=lease_ms)
         self.addCleanup(deployment.__exit__)
-        scenario.start(deployment, CARTLINE, engine_options=SLOW_ENGINE, **options)
+        if relay:
+            deployment.relay = PeerRelay()
+        if sheet_edit:
+            deployment.sheet = self.edited_sheet(deployment, *sheet_edit)
+        scenario.start(deployment, CARTLINE, engine_options=(*SLOW_ENGINE, *engine_options), **options)
         return deployment
 
     def port(self, deployment, entry):
@@ -54,3 +62,16 @@
         for name in scenario.services(deployment):
             total += deployment.processes[name].output().count(f"executed /orders {key}\n")
         return total
+
+    def edited_sheet(self, deployment, old, new):
+        text = deployment.sheet.read_text()
+        self.assertIn(old, text)
+        path = pathlib.Path(deployment.directory) / f"{uuid.uuid4()}.csv"
+        path.write_text(text.replace(old, new))
+        return path
+
+    def changed_sheet(self, deployment, share):
+        return self.edited_sheet(deployment, ",4,,,,,", f",{share},,,,,")
+
+    def versions(self, deployment):
+        return [deployment.status(name)["sheet_version"] for name in deployment.entries]
