Services: Poll and share loads in a class of its own

Load reports now count as recent for 5 s instead of 3 s, because digests of large failure domains are up to 3.5 s old.

--- a/Libraries/routing/include/siskinwharf/routing/router.h
+++ b/Libraries/routing/include/siskinwharf/routing/router.h
@@ -23,7 +23,8 @@
     double required_price_advantage = 0.1;
     std::size_t cache_hint_slots = 1U << 16U; ///< 32 bytes each.
     /// Without a load report of this age a process does not know how many streams of others an engine runs.
-    nanoseconds report_lifetime = seconds(3);
+    /// In large failure domains the digests of peers are up to 3.5 s old.
+    nanoseconds report_lifetime = seconds(5);
     /// Part of an engine's capacity that one process uses without such a report: capacity / divisor, at least
     /// one stream. 1 means all of it.
     std::uint32_t unreported_capacity_divisor = 1;
--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -10,3 +10,5 @@
 Meta/lint.sh build
 # Three at a time: one model search and the system tests keep about four cores busy.
 ctest --test-dir build --output-on-failure --no-tests=error --parallel 3
+# After the tests, because system tests are sensitive to a machine that is busy with compilers.
+Meta/sanitize.sh build
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json.hpp>
 
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/membership/polling.h"
@@ -27,7 +26,6 @@
 constexpr std::string_view claim_work = "claims";
 /// The whole list at full size has about 300 KB.
 constexpr milliseconds instance_list_timeout{2'000};
-constexpr milliseconds load_poll_timeout{1'000};
 /// With the 2.2 s until a poll of the table fails or finds a version, this leaves half of the 5 s in which an
 /// accepted sheet must be in force.
 constexpr milliseconds remote_sheet_poll_period{1'000};
@@ -53,12 +51,6 @@
     return event::peer_dead;
 }
 
-std::uint32_t number_of(const boost::json::object& object, std::string_view name)
-{
-    const auto* value = object.if_contains(name);
-    return value != nullptr && value->is_number() ? value->to_number<std::uint32_t>() : 0;
-}
-
 } // namespace
 
 peer_node::peer_node(asio::io_context& control, entry_core& core, http::client& client,
@@ -71,6 +63,7 @@
       m_members(membership::member_options{}, core.settings.instance,
                 contact_of(core.settings.advertised_to_peers.value_or(core.settings.listen.peers)),
                 unix_milliseconds()),
+      m_loads(control, core, client, make_load_ports()),
       m_holders([this](instance_id holder, peer::address contact, peer::message body, milliseconds timeout) {
           return request_once(std::move(holder), std::move(contact), std::move(body), timeout);
       }),
@@ -91,7 +84,7 @@
     m_transport =
         std::make_unique<peer::peer_transport>(m_control.get_executor(), options, shared_from_this());
     asio::co_spawn(m_control, run_ticks(), asio::detached);
-    asio::co_spawn(m_control, run_load_polls(), asio::detached);
+    m_loads.start();
     m_quarantine.start();
     m_isolation.start();
     asio::co_spawn(m_control, run_remote_sheet_polls(), asio::detached);
@@ -239,106 +232,20 @@
     m_callbacks.on_sheet_missed();
 }
 
-std::vector<endpoint_id> peer_node::own_endpoints() const
-{
-    std::vector<endpoint_id> result;
-    const routing::rcu_read_section section;
-    for (const auto& [id, entry] : m_core.table.read(section).endpoints) {
-        if (entry.info->domain == m_core.settings.failure_domain &&
-            std::holds_alternative<routing::model_target>(entry.info->serves))
-            result.push_back(id);
-    }
-    return result;
-}
-
-std::vector<endpoint_id> peer_node::used_remote_endpoints() const
-{
-    std::vector<endpoint_id> result;
-    const routing::rcu_read_section section;
-    for (const auto& [id, entry] : m_core.table.read(section).endpoints) {
-        if (entry.info->domain != m_core.settings.failure_domain && entry.load->own_streams() > 0 &&
-            std::holds_alternative<routing::model_target>(entry.info->serves))
-            result.push_back(id);
-    }
-    return result;
-}
-
-asio::awaitable<void> peer_node::run_load_polls()
+load_ports peer_node::make_load_ports()
 {
-    asio::steady_timer timer(m_control);
-    std::size_t round = 0;
-    while (true) {
-        const auto digest = std::make_shared<peer::load_report>();
-        const auto polled = membership::polled_endpoints(m_core.settings.instance,
-                                                         m_members.working_members(), own_endpoints());
-        for (const auto& endpoint : polled)
-            asio::co_spawn(m_control, poll_load(endpoint, digest), asio::detached);
-        for (const auto& endpoint : used_remote_endpoints())
-            asio::co_spawn(m_control, poll_load(endpoint, nullptr), asio::detached);
-        timer.expires_after(membership::load_poll_period);
-        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-        const auto polls = membership::polls_per_send(m_members.working_members().size());
-        apply_loads(m_load_repeats.due(now(), polls));
-        if (++round % polls != 0)
-            continue;
-        const peer::load_report report{m_load_changes.select(now(), digest->loads)};
-        if (report.loads.empty())
-            continue;
+    load_ports result;
+    result.working_members = [this] {
+        return m_members.working_members();
+    };
+    result.send = [this](const peer::load_report& report) {
         for (const auto& member : working_peers())
             m_transport->send(member.member, member.contact, report);
-    }
-}
-
-asio::awaitable<void> peer_node::poll_load(endpoint_id endpoint, std::shared_ptr<peer::load_report> digest)
-{
-    const auto info = m_core.table.find_info(endpoint);
-    if (!info)
-        co_return;
-    http::request message{"GET", "/load", "", {}, ""};
-    const http::address target{info->address, info->port};
-    try {
-        const auto answer = co_await m_client.call(target, std::move(message), load_poll_timeout);
-        if (digest)
-            m_callbacks.on_probe(endpoint, true);
-        boost::system::error_code error;
-        const auto document = boost::json::parse(answer.body, error);
-        if (error || !document.is_object())
-            co_return;
-        const auto& load = document.get_object();
-        peer::load_digest entry;
-        entry.endpoint_key = peer::endpoint_key(endpoint);
-        entry.in_flight = number_of(load, "in_flight") + number_of(load, "queued");
-        entry.free_slots = number_of(load, "free");
-        entry.sequence = number_of(load, "sequence");
-        if (digest)
-            digest->loads.push_back(entry);
-        apply_load(endpoint, membership::number_load(entry));
-    } catch (const http::call_error&) {
-        if (digest)
-            m_callbacks.on_probe(endpoint, false);
-    }
-}
-
-void peer_node::apply_loads(const std::vector<membership::numbered_load>& loads)
-{
-    std::map<std::uint32_t, std::vector<endpoint_id>> by_key;
-    for (const auto& endpoint : own_endpoints())
-        by_key[peer::endpoint_key(endpoint)].push_back(endpoint);
-    for (const auto& load : loads) {
-        const auto found = by_key.find(load.digest.endpoint_key);
-        if (found != by_key.end() && found->second.size() == 1)
-            apply_load(found->second.front(), load);
-    }
-}
-
-void peer_node::apply_load(const endpoint_id& endpoint, const membership::numbered_load& load)
-{
-    routing::load_report report;
-    report.sequence = load.sequence;
-    const auto time = now();
-    report.measured_at = time - load.age;
-    report.streams = load.digest.in_flight;
-    m_core.table.apply_report(endpoint, report, time);
+    };
+    result.on_probe = [this](const endpoint_id& endpoint, bool answered) {
+        m_callbacks.on_probe(endpoint, answered);
+    };
+    return result;
 }
 
 std::vector<membership::member_info> peer_node::working_peers() const
@@ -373,10 +280,7 @@
 void peer_node::receive(peer::frame datagram, peer::address from)
 {
     if (const auto* loads = std::get_if<peer::load_report>(&datagram.body)) {
-        std::vector<membership::numbered_load> numbered;
-        for (const auto& load : loads->loads)
-            numbered.push_back(m_load_repeats.receive(now(), load));
-        apply_loads(numbered);
+        m_loads.receive(*loads);
         return;
     }
     if (auto* changes = std::get_if<peer::instance_changes>(&datagram.body)) {
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -16,9 +16,9 @@
 #include "claim_holders.h"
 #include "entry_core.h"
 #include "isolation_exchange.h"
+#include "load_poller.h"
 #include "quarantine_exchange.h"
 #include "siskinwharf/http/client.h"
-#include "siskinwharf/membership/load_changes.h"
 #include "siskinwharf/membership/member_table.h"
 #include "siskinwharf/peer/peer_transport.h"
 #include "siskinwharf/platform/instance_list.h"
@@ -94,20 +94,15 @@
 
 private:
     boost::asio::awaitable<void> run_ticks();
-    boost::asio::awaitable<void> run_load_polls();
-    boost::asio::awaitable<void> poll_load(endpoint_id endpoint, std::shared_ptr<peer::load_report> digest);
     boost::asio::awaitable<void> run_remote_sheet_polls();
     boost::asio::awaitable<void> fetch_sheet(membership::member_table::known_sheet known);
     boost::asio::awaitable<void> ask_for_sheet(membership::member_table::known_sheet known);
     boost::asio::awaitable<void> exchange(membership::outgoing_message message);
     void carry_out(membership::member_output output);
-    void apply_loads(const std::vector<membership::numbered_load>& loads);
-    void apply_load(const endpoint_id& endpoint, const membership::numbered_load& load);
+    void note_missed_sheet(std::uint64_t version);
+    [[nodiscard]] load_ports make_load_ports();
     [[nodiscard]] quarantine_ports make_quarantine_ports();
     [[nodiscard]] std::vector<membership::member_info> working_peers() const;
-    [[nodiscard]] std::vector<endpoint_id> own_endpoints() const;
-    /// Engines of other failure domains that run streams of this process. Nobody else tells it their load.
-    [[nodiscard]] std::vector<endpoint_id> used_remote_endpoints() const;
 
     boost::asio::io_context& m_control;
     entry_core& m_core;
@@ -116,14 +111,11 @@
     peer_callbacks m_callbacks;
     std::mt19937_64 m_random{std::random_device{}()};
     membership::member_table m_members;
-    membership::load_changes m_load_changes;
-    membership::load_repeats m_load_repeats;
+    load_poller m_loads;
     std::unique_ptr<peer::peer_transport> m_transport;
     claim_holders m_holders;
     quarantine_exchange m_quarantine;
     isolation_exchange m_isolation;
-    void note_missed_sheet(std::uint64_t version);
-
     bool m_fetching_sheet = false;
     std::uint64_t m_missed_sheet = 0;
     std::size_t m_next_seed = 0;
