Tests: Choose the ports of a process and of its relay together

Cause: system_test_cut_from_platform failed once in a full run: entry-ocho-1 was not ready within 20 s, and the relay had made over 100,000 connections. The relay bound a free port before the process had started, and could get the port that was meant for the process; it then connected to itself and the process could not listen. Ruled out: traffic of the processes, 8 to 12 connections in 5 s in three runs. Both ports are now chosen together.

--- a/Tests/system/deployment.py
+++ b/Tests/system/deployment.py
@@ -178,9 +178,9 @@
             "[timing]", "stop_timeout_ms = 60000", f"lease_duration_ms = {self.lease_ms}", ""])
 
     def start_entry(self, name, region, register=True, seeds=()):
-        ports = self.entries[name]["ports"] if name in self.entries else free_ports(3)
+        ports = self.entries[name]["ports"] if name in self.entries else free_ports(4)
         path = pathlib.Path(self.directory) / f"{name}.toml"
-        peer_port = self.relay.add(name, ports[1]) if self.relay else ports[1]
+        peer_port = self.relay.add(name, ports[1], ports[3]) if self.relay else ports[1]
         path.write_text(self.settings_text(name, region, ports, self.platform_port, peer_port, seeds))
         self.spawn(name, self.bin / "siskinwharfd", path)
         self.entries[name] = {"ports": ports, "region": region}
--- a/Tests/system/peer_relay.py
+++ b/Tests/system/peer_relay.py
@@ -37,16 +37,16 @@
     def separated(self, one, other):
         return one in self.isolated or other in self.isolated
 
-    def add(self, name, port):
-        """Returns the port at which the relay takes messages to a process that listens on `port`."""
-        return asyncio.run_coroutine_threadsafe(self.open(name, port), self.loop).result(10)
+    def add(self, name, port, own):
+        """Takes messages to a process that listens on `port` at the port `own`, which is returned. Both are chosen
+        together: a free port that the relay took by itself could be that of the process, which has not started."""
+        return asyncio.run_coroutine_threadsafe(self.open(name, port, own), self.loop).result(10)
 
-    async def open(self, name, port):
+    async def open(self, name, port, own):
         if name in self.ports:
-            return self.datagrams[name].get_extra_info("sockname")[1]
+            return own
         self.ports[name] = port
-        server = await asyncio.start_server(lambda *streams: self.connect(name, *streams), "127.0.0.1", 0)
-        own = server.sockets[0].getsockname()[1]
+        await asyncio.start_server(lambda *streams: self.connect(name, *streams), "127.0.0.1", own)
         self.datagrams[name], _ = await self.loop.create_datagram_endpoint(
             lambda: _Datagrams(self, name), local_addr=("127.0.0.1", own))
         return own
