Services: Move a relayed stream whose engine is leaving

The relay now exports the stream when its engine is leaving and imports it at another. A stream that no caller fetches before its engine has left is still lost.

--- a/Services/siskinwharfd/src/caller_api.cpp
+++ b/Services/siskinwharfd/src/caller_api.cpp
@@ -28,6 +28,8 @@
 constexpr std::size_t longest_idempotency_key = 256;
 /// An engine answers a query for a stream at once; one that does not is frozen or cut off.
 constexpr milliseconds engine_query_timeout{2'000};
+/// Longest silence of a stream that a peer relays.
+constexpr milliseconds relay_timeout{10'000};
 constexpr std::string_view services_prefix = "/services/";
 
 std::optional<std::uint64_t> parse_number(std::string_view text)
@@ -382,7 +384,9 @@
             id.value(), std::get<routing::model_target>(endpoint->serves).model.value(), 0};
         auto headers = stream_headers(id);
         co_await writer.begin(200, std::move(headers));
-        co_await relay_engine_stream(*stream, identity, offset, writer);
+        orphaned_stream orphan{account, identity, request_key(account, id), endpoint};
+        engine_relay relay(m_core, m_worker.client(), std::move(orphan), offset, writer);
+        co_await relay.run(std::move(stream));
         co_return true;
     }
     co_return false;
--- a/Tests/system/test_entry_faults.py
+++ b/Tests/system/test_entry_faults.py
@@ -113,6 +113,8 @@
     "platform_hangs_and_reclaim": (HANG, RECLAIM),
     # The engines have left by then, so the streams run in another failure domain.
     "reclaim_then_entry_killed": (RECLAIM, KILL_LATER),
+    # The stream has no request record then; the process that relays it to its caller must move it.
+    "entry_killed_and_reclaim": (KILL, RECLAIM),
     "entry_killed_and_answers_lost": (KILL, LOSE),
     "entry_frozen_and_cut_from_platform": (FREEZE, Fault(
         lambda deployment, victim: platform(reject_sources=[victim])(deployment, victim),
