Peer: Share the integer conversions and the request-and-reply code

Its HTTP client was unused since loads are polled by load_poller, whose two selections of engines are one with a condition, and endpoint_load says how many streams others have instead of the router deriving it.

--- a/Libraries/peer/src/conversion.cpp
+++ b/Libraries/peer/src/conversion.cpp
@@ -1,58 +1,15 @@
 #include "conversion.h"
 
-#include <algorithm>
 #include <array>
 #include <type_traits>
 
 #include "siskinwharf/base/hash.h"
-#include "wire.h"
+#include "wire_values.h"
 
 namespace siskinwharf::peer {
 
 namespace {
 
-// Thrift has signed integers only; the bits are kept.
-std::int64_t to_signed(std::uint64_t value)
-{
-    return static_cast<std::int64_t>(value);
-}
-
-std::int32_t to_signed(std::uint32_t value)
-{
-    return static_cast<std::int32_t>(value);
-}
-
-std::uint64_t to_unsigned(std::int64_t value)
-{
-    return static_cast<std::uint64_t>(value);
-}
-
-std::uint32_t to_unsigned(std::int32_t value)
-{
-    return static_cast<std::uint32_t>(value);
-}
-
-template<typename Enum>
-std::int8_t to_byte(Enum value)
-{
-    return static_cast<std::int8_t>(value);
-}
-
-template<typename Enum>
-Enum to_enum(std::int8_t value, Enum last)
-{
-    if (value < 0 || value > static_cast<std::int8_t>(last))
-        throw wire_error("enumerator out of range");
-    return static_cast<Enum>(value);
-}
-
-milliseconds to_duration(std::int64_t value)
-{
-    // Bounds keep later additions to a time point, in nanoseconds, from overflowing.
-    constexpr std::int64_t longest = 7LL * 24 * 3600 * 1000;
-    return milliseconds(std::clamp<std::int64_t>(value, 0, longest));
-}
-
 wire::address to_wire(const address& value)
 {
     wire::address result;
@@ -63,9 +20,7 @@
 
 address from_wire(const wire::address& value)
 {
-    if (value.port < 0 || value.port > UINT16_MAX)
-        throw wire_error("port out of range");
-    return {value.host, static_cast<std::uint16_t>(value.port)};
+    return {value.host, to_port(value.port)};
 }
 
 wire::member_update to_wire(const member_update& value)
--- a/Libraries/peer/src/instance_conversion.cpp
+++ b/Libraries/peer/src/instance_conversion.cpp
@@ -1,7 +1,5 @@
-#include <algorithm>
-
 #include "conversion.h"
-#include "wire.h"
+#include "wire_values.h"
 
 namespace siskinwharf::peer {
 
@@ -9,22 +7,6 @@
 
 /// Stands for a time until leaving that is not known.
 constexpr std::int64_t unknown_time = -1;
-/// Bounds keep later additions to a time point, in nanoseconds, from overflowing.
-constexpr std::int64_t longest_time_ms = 7LL * 24 * 3600 * 1000;
-
-std::uint16_t to_port(std::int32_t value)
-{
-    if (value < 0 || value > UINT16_MAX)
-        throw wire_error("port out of range");
-    return static_cast<std::uint16_t>(value);
-}
-
-workload_kind to_kind(std::int8_t value)
-{
-    if (value < 0 || value > static_cast<std::int8_t>(workload_kind::service))
-        throw wire_error("enumerator out of range");
-    return static_cast<workload_kind>(value);
-}
 
 wire::instance_entry to_wire(const instance_entry& value)
 {
@@ -35,15 +17,15 @@
     result.peer_port = value.peer_port;
     result.domain = value.domain.value();
     result.region = value.region.value();
-    result.kind = static_cast<std::int8_t>(value.kind);
+    result.kind = to_byte(value.kind);
     result.serves = value.serves;
     result.version = value.version;
     result.leaving = value.leaving;
     result.leaves_in_ms = value.leaves_in ? value.leaves_in->count() : unknown_time;
-    result.started_ms = static_cast<std::int64_t>(value.started_ms);
-    result.capacity = static_cast<std::int32_t>(value.capacity);
+    result.started_ms = to_signed(value.started_ms);
+    result.capacity = to_signed(value.capacity);
     result.machine_class = value.machine_class;
-    result.price = static_cast<std::int64_t>(value.price_microcents_per_second);
+    result.price = to_signed(value.price_microcents_per_second);
     result.reclaimable = value.reclaimable;
     return result;
 }
@@ -57,16 +39,16 @@
     result.peer_port = to_port(value.peer_port);
     result.domain = failure_domain_id(value.domain);
     result.region = region_id(value.region);
-    result.kind = to_kind(value.kind);
+    result.kind = to_enum(value.kind, workload_kind::service);
     result.serves = value.serves;
     result.version = value.version;
     result.leaving = value.leaving;
     if (value.leaves_in_ms >= 0)
-        result.leaves_in = milliseconds(std::min(value.leaves_in_ms, longest_time_ms));
-    result.started_ms = static_cast<std::uint64_t>(value.started_ms);
-    result.capacity = static_cast<std::uint32_t>(value.capacity);
+        result.leaves_in = to_duration(value.leaves_in_ms);
+    result.started_ms = to_unsigned(value.started_ms);
+    result.capacity = to_unsigned(value.capacity);
     result.machine_class = value.machine_class;
-    result.price_microcents_per_second = static_cast<std::uint64_t>(value.price);
+    result.price_microcents_per_second = to_unsigned(value.price);
     result.reclaimable = value.reclaimable;
     return result;
 }
@@ -76,9 +58,9 @@
 wire::instance_changes to_wire(const instance_changes& value)
 {
     wire::instance_changes result;
-    result.version = static_cast<std::int64_t>(value.version);
-    result.base_digest = static_cast<std::int64_t>(value.base_digest);
-    result.digest = static_cast<std::int64_t>(value.digest);
+    result.version = to_signed(value.version);
+    result.base_digest = to_signed(value.base_digest);
+    result.digest = to_signed(value.digest);
     result.tag = value.tag;
     result.whole = value.whole;
     result.put.reserve(value.put.size());
@@ -93,9 +75,9 @@
 instance_changes from_wire(const wire::instance_changes& value)
 {
     instance_changes result;
-    result.version = static_cast<std::uint64_t>(value.version);
-    result.base_digest = static_cast<std::uint64_t>(value.base_digest);
-    result.digest = static_cast<std::uint64_t>(value.digest);
+    result.version = to_unsigned(value.version);
+    result.base_digest = to_unsigned(value.base_digest);
+    result.digest = to_unsigned(value.digest);
     result.tag = value.tag;
     result.whole = value.whole;
     result.put.reserve(value.put.size());
@@ -111,7 +93,7 @@
 {
     wire::instance_list_request result;
     for (const std::uint64_t digest : value.digests)
-        result.digests.push_back(static_cast<std::int64_t>(digest));
+        result.digests.push_back(to_signed(digest));
     return result;
 }
 
@@ -119,7 +101,7 @@
 {
     instance_list_request result;
     for (const std::int64_t digest : value.digests)
-        result.digests.push_back(static_cast<std::uint64_t>(digest));
+        result.digests.push_back(to_unsigned(digest));
     return result;
 }
 
--- a/Libraries/routing/include/siskinwharf/routing/endpoint_load.h
+++ b/Libraries/routing/include/siskinwharf/routing/endpoint_load.h
@@ -27,12 +27,13 @@
 class alignas(64) endpoint_load {
 public:
     /// Own streams plus the last known streams of others.
-    [[nodiscard]] std::uint32_t streams() const
+    [[nodiscard]] std::uint32_t streams() const { return own_streams() + other_streams(); }
+    [[nodiscard]] std::uint32_t own_streams() const { return m_own_streams.load(std::memory_order_relaxed); }
+    /// Streams of other processes as of the last report.
+    [[nodiscard]] std::uint32_t other_streams() const
     {
-        return m_own_streams.load(std::memory_order_relaxed) +
-               m_other_streams.load(std::memory_order_relaxed);
+        return m_other_streams.load(std::memory_order_relaxed);
     }
-    [[nodiscard]] std::uint32_t own_streams() const { return m_own_streams.load(std::memory_order_relaxed); }
     [[nodiscard]] std::uint64_t own_tokens() const { return m_own_tokens.load(std::memory_order_relaxed); }
 
     /// Prompt tokens before the prefill of the next request: own ones plus those reported by others.
--- a/Libraries/routing/src/group_selection.cpp
+++ b/Libraries/routing/src/group_selection.cpp
@@ -36,8 +36,7 @@
         return entry.capacity;
     // The streams of others are those of the last report, which may have ended long ago: they must not fill
     // the part.
-    const auto others = entry.load->streams() - std::min(entry.load->own_streams(), entry.load->streams());
-    return others + std::max(entry.capacity / options.unreported_capacity_divisor, 1U);
+    return entry.load->other_streams() + std::max(entry.capacity / options.unreported_capacity_divisor, 1U);
 }
 
 group_selection::group_selection(const prepared_request& prepared, const endpoint_group& group,
--- a/Services/siskinwharfd/src/load_poller.cpp
+++ b/Services/siskinwharfd/src/load_poller.cpp
@@ -46,28 +46,29 @@
     apply(loads);
 }
 
-std::vector<endpoint_id> load_poller::own_endpoints() const
+template<typename Condition>
+std::vector<endpoint_id> load_poller::engines_where(Condition condition) const
 {
     std::vector<endpoint_id> result;
     const routing::rcu_read_section section;
     for (const auto& [id, entry] : m_core.table.read(section).endpoints) {
-        if (entry.info->domain == m_core.settings.failure_domain &&
-            std::holds_alternative<routing::model_target>(entry.info->serves))
+        if (std::holds_alternative<routing::model_target>(entry.info->serves) && condition(entry))
             result.push_back(id);
     }
     return result;
 }
 
+std::vector<endpoint_id> load_poller::own_endpoints() const
+{
+    return engines_where(
+        [this](const auto& entry) { return entry.info->domain == m_core.settings.failure_domain; });
+}
+
 std::vector<endpoint_id> load_poller::used_remote_endpoints() const
 {
-    std::vector<endpoint_id> result;
-    const routing::rcu_read_section section;
-    for (const auto& [id, entry] : m_core.table.read(section).endpoints) {
-        if (entry.info->domain != m_core.settings.failure_domain && entry.load->own_streams() > 0 &&
-            std::holds_alternative<routing::model_target>(entry.info->serves))
-            result.push_back(id);
-    }
-    return result;
+    return engines_where([this](const auto& entry) {
+        return entry.info->domain != m_core.settings.failure_domain && entry.load->own_streams() > 0;
+    });
 }
 
 asio::awaitable<void> load_poller::run()
--- a/Services/siskinwharfd/src/load_poller.h
+++ b/Services/siskinwharfd/src/load_poller.h
@@ -41,6 +41,8 @@
     boost::asio::awaitable<void> poll(endpoint_id endpoint, std::shared_ptr<peer::load_report> digest);
     void apply(const std::vector<membership::numbered_load>& loads);
     void apply(const endpoint_id& endpoint, const membership::numbered_load& load);
+    template<typename Condition>
+    [[nodiscard]] std::vector<endpoint_id> engines_where(Condition condition) const;
     [[nodiscard]] std::vector<endpoint_id> own_endpoints() const;
     /// Engines of other failure domains that run streams of this process. Nobody else tells it their load.
     [[nodiscard]] std::vector<endpoint_id> used_remote_endpoints() const;
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -57,7 +57,6 @@
                      claim_committer& committer, peer_callbacks callbacks)
     : m_control(control),
       m_core(core),
-      m_client(client),
       m_committer(committer),
       m_callbacks(std::move(callbacks)),
       m_members(membership::member_options{}, core.settings.instance,
@@ -135,9 +134,36 @@
 }
 
 void peer_node::send(const peer::rollout_state& state)
+{
+    broadcast(state);
+}
+
+void peer_node::broadcast(const peer::message& body)
 {
     for (const auto& member : working_peers())
-        m_transport->send(member.member, member.contact, state);
+        m_transport->send(member.member, member.contact, body);
+}
+
+asio::awaitable<std::optional<peer::message>> peer_node::call(instance_id recipient, peer::address contact,
+                                                              peer::message body, milliseconds timeout)
+{
+    auto result =
+        co_await m_transport->request(std::move(recipient), std::move(contact), std::move(body), timeout);
+    auto* answer = std::get_if<peer::message>(&result);
+    if (answer == nullptr)
+        co_return std::nullopt;
+    co_return std::move(*answer);
+}
+
+template<typename Reply>
+asio::awaitable<std::optional<Reply>> peer_node::call_for(instance_id recipient, peer::address contact,
+                                                          peer::message body, milliseconds timeout)
+{
+    auto answer = co_await call(std::move(recipient), std::move(contact), std::move(body), timeout);
+    auto* reply = answer ? std::get_if<Reply>(&*answer) : nullptr;
+    if (reply == nullptr)
+        co_return std::nullopt;
+    co_return std::move(*reply);
 }
 
 void peer_node::carry_out(membership::member_output output)
@@ -160,8 +186,8 @@
 {
     const auto recipient = message.recipient;
     const auto contact = message.contact;
-    auto result = co_await m_transport->request(recipient, contact, std::move(message.body), request_timeout);
-    if (const auto* answer = std::get_if<peer::message>(&result))
+    const auto answer = co_await call(recipient, contact, std::move(message.body), request_timeout);
+    if (answer)
         carry_out(m_members.receive(now(), m_random, recipient, contact, *answer));
 }
 
@@ -208,11 +234,9 @@
 asio::awaitable<void> peer_node::ask_for_sheet(membership::member_table::known_sheet known)
 {
     peer::message body = peer::sheet_request{known.version};
-    auto result =
-        co_await m_transport->request(known.holder, known.contact, std::move(body), request_timeout);
-    const auto* answer = std::get_if<peer::message>(&result);
-    const auto* reply = answer != nullptr ? std::get_if<peer::sheet_reply>(answer) : nullptr;
-    if (reply == nullptr || reply->version == 0) {
+    const auto reply =
+        co_await call_for<peer::sheet_reply>(known.holder, known.contact, std::move(body), request_timeout);
+    if (!reply || reply->version == 0) {
         note_missed_sheet(known.version);
         co_return;
     }
@@ -239,8 +263,7 @@
         return m_members.working_members();
     };
     result.send = [this](const peer::load_report& report) {
-        for (const auto& member : working_peers())
-            m_transport->send(member.member, member.contact, report);
+        broadcast(report);
     };
     result.on_probe = [this](const endpoint_id& endpoint, bool answered) {
         m_callbacks.on_probe(endpoint, answered);
@@ -267,12 +290,8 @@
     result.send = [this](const membership::member_info& member, const peer::message& body) {
         m_transport->send(member.member, member.contact, body);
     };
-    result.request = [this](membership::member_info member,
-                            peer::message body) -> asio::awaitable<std::optional<peer::message>> {
-        auto answer =
-            co_await m_transport->request(member.member, member.contact, std::move(body), request_timeout);
-        auto* reply = std::get_if<peer::message>(&answer);
-        co_return reply != nullptr ? std::optional(std::move(*reply)) : std::nullopt;
+    result.request = [this](membership::member_info member, peer::message body) {
+        return call(std::move(member.member), std::move(member.contact), std::move(body), request_timeout);
     };
     return result;
 }
@@ -374,13 +393,8 @@
     if (!from)
         co_return std::nullopt;
     peer::message body = wanted;
-    auto result =
-        co_await m_transport->request(from->member, from->contact, std::move(body), instance_list_timeout);
-    auto* answer = std::get_if<peer::message>(&result);
-    auto* reply = answer != nullptr ? std::get_if<peer::instance_changes>(answer) : nullptr;
-    if (reply == nullptr)
-        co_return std::nullopt;
-    co_return std::move(*reply);
+    co_return co_await call_for<peer::instance_changes>(from->member, from->contact, std::move(body),
+                                                        instance_list_timeout);
 }
 
 asio::awaitable<void> peer_node::join_seed()
@@ -395,9 +409,9 @@
     peer::message body = peer::member_join{
         {m_core.settings.instance, self, peer::member_state::alive, m_members.incarnation()}};
     // Only the address of a seed is known.
-    auto result = co_await m_transport->request(instance_id{}, contact, std::move(body), request_timeout);
-    const auto* answer = std::get_if<peer::message>(&result);
-    const auto* sync = answer != nullptr ? std::get_if<peer::member_sync>(answer) : nullptr;
+    instance_id unknown;
+    const auto answer = co_await call(std::move(unknown), contact, std::move(body), request_timeout);
+    const auto* sync = answer ? std::get_if<peer::member_sync>(&*answer) : nullptr;
     // The sender names itself first.
     if (sync == nullptr || sync->state.members.empty())
         co_return;
@@ -407,23 +421,17 @@
 
 asio::awaitable<std::optional<peer::message>> peer_node::ask(membership::outgoing_message message)
 {
-    auto result = co_await m_transport->request(message.recipient, message.contact, std::move(message.body),
-                                                request_timeout);
-    auto* answer = std::get_if<peer::message>(&result);
-    if (answer == nullptr)
-        co_return std::nullopt;
-    co_return std::move(*answer);
+    co_return co_await call(std::move(message.recipient), std::move(message.contact), std::move(message.body),
+                            request_timeout);
 }
 
 asio::awaitable<std::optional<instance_id>> peer_node::locate(request_id request)
 {
     for (const auto& member : working_peers()) {
         peer::message body = peer::locate_request{request};
-        auto result =
-            co_await m_transport->request(member.member, member.contact, std::move(body), request_timeout);
-        const auto* answer = std::get_if<peer::message>(&result);
-        const auto* reply = answer != nullptr ? std::get_if<peer::locate_reply>(answer) : nullptr;
-        if (reply != nullptr && reply->state != peer::locate_state::unknown)
+        const auto reply = co_await call_for<peer::locate_reply>(member.member, member.contact,
+                                                                 std::move(body), request_timeout);
+        if (reply && reply->state != peer::locate_state::unknown)
             co_return reply->holder;
     }
     co_return std::nullopt;
@@ -435,11 +443,9 @@
     std::ranges::shuffle(peers, m_random);
     for (const auto& member : peers) {
         peer::message body = peer::handover_request{record};
-        auto result =
-            co_await m_transport->request(member.member, member.contact, std::move(body), handover_timeout);
-        const auto* answer = std::get_if<peer::message>(&result);
-        const auto* reply = answer != nullptr ? std::get_if<peer::handover_reply>(answer) : nullptr;
-        if (reply != nullptr && reply->accepted) {
+        const auto reply = co_await call_for<peer::handover_reply>(member.member, member.contact,
+                                                                   std::move(body), handover_timeout);
+        if (reply && reply->accepted) {
             log_event(event::request_handed_over,
                       {{"request", record.request.value()}, {"to", member.member.value()}});
             co_return true;
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -99,6 +99,15 @@
     boost::asio::awaitable<void> ask_for_sheet(membership::member_table::known_sheet known);
     boost::asio::awaitable<void> exchange(membership::outgoing_message message);
     void carry_out(membership::member_output output);
+    /// Sends a datagram to all working peers.
+    void broadcast(const peer::message& body);
+    /// Sends a request and returns its reply, or nothing if there is none in time.
+    boost::asio::awaitable<std::optional<peer::message>> call(instance_id recipient, peer::address contact,
+                                                              peer::message body, milliseconds timeout);
+    /// As `call`, for a reply of one type.
+    template<typename Reply>
+    boost::asio::awaitable<std::optional<Reply>> call_for(instance_id recipient, peer::address contact,
+                                                          peer::message body, milliseconds timeout);
     void note_missed_sheet(std::uint64_t version);
     [[nodiscard]] load_ports make_load_ports();
     [[nodiscard]] quarantine_ports make_quarantine_ports();
@@ -106,7 +115,6 @@
 
     boost::asio::io_context& m_control;
     entry_core& m_core;
-    http::client& m_client;
     claim_committer& m_committer;
     peer_callbacks m_callbacks;
     std::mt19937_64 m_random{std::random_device{}()};
