Tests: Read the report of a load in one place

Five measuring scripts waited for the load generator and read its report with the same lines; Deployment.finish_load does it. relay_cost.py had two ways to take the middle run.

--- a/Tests/system/claim_load.py
+++ b/Tests/system/claim_load.py
@@ -26,11 +26,10 @@
             accounts=scenario.load_accounts(CARTLINE), model=CARTLINE.model, service=CARTLINE.service,
             call_path=CARTLINE.call_path, executions=scenario.execution_targets(deployment), rate=rate,
             duration=options.duration, call_share=1, seed=repetition)
-        output, errors = load.communicate(timeout=300)
+        report = deployment.finish_load(load, path, 300)
         after = stats(deployment)
         if options.verbose:
-            print(output, errors, before, after, file=sys.stderr)
-        report = json.loads(path.read_text())
+            print(report, before, after, file=sys.stderr)
     taken = {name: value - before.get(name, 0) for name, value in after.items() if isinstance(value, int)}
     return report, taken
 
--- a/Tests/system/cost_at_target.py
+++ b/Tests/system/cost_at_target.py
@@ -2,7 +2,6 @@
 """Finds, for each routing policy, the highest load at which a fixed fleet keeps the latency targets, and its cost."""
 
 import argparse
-import json
 import sys
 
 import scenario
@@ -24,11 +23,8 @@
                 accounts=scenario.load_accounts(described), model=described.model, rate=rate,
                 duration=options.seconds, streaming_share=1, prefixes=options.prefixes,
                 prefix_words=options.prefix_words, seed=options.seed)
-            output, errors = load.communicate(timeout=options.seconds + 90)
+            report = deployment.finish_load(load, report_path, options.seconds + 90)
             prefilled, overrun = counters.total("prefilled_tokens"), counters.total("overrun_ms")
-        if not report_path.exists():
-            raise SystemExit(f"no report: {output}{errors}")
-        report = json.loads(report_path.read_text())
     fleet_cents = CENTS_PER_HOUR / 3600 * options.engines * len(described.regions) * options.seconds
     report.update(cents=fleet_cents / max(report["tokens"], 1) * 1e6, prefilled=prefilled, overrun=overrun)
     return report
--- a/Tests/system/deployment.py
+++ b/Tests/system/deployment.py
@@ -215,6 +215,13 @@
             arguments += ["--" + key.replace("_", "-"), str(value)]
         return subprocess.Popen(arguments, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True), report
 
+    def finish_load(self, load, report_path, seconds):
+        """Waits for a load that `load` has started, at most this long, and returns its report."""
+        output, errors = load.communicate(timeout=seconds)
+        if not report_path.exists():
+            raise DeploymentError(f"the load generator wrote no report:\n{output}{errors}")
+        return json.loads(report_path.read_text())
+
     def reclaim(self, names, in_ms):
         """Announces a reclaim and lets the endpoints leave, as the platform does."""
         status, text = http("POST", self.platform_port, "/cloud/reclaim", {"ids": list(names), "in_ms": in_ms})
--- a/Tests/system/experiment.py
+++ b/Tests/system/experiment.py
@@ -2,7 +2,6 @@
 """Compares the routing policies under the same load, with a reclaim of one failure domain in the middle."""
 
 import argparse
-import json
 import sys
 import time
 
@@ -23,12 +22,9 @@
             region = described.regions[-1]
             leaving = scenario.engines_of(deployment, region) + [f"service-{region}-1"]
             deployment.reclaim(leaving, scenario.NOTICE_MS)
-            output, errors = load.communicate(timeout=options.seconds + 90)
+            report = deployment.finish_load(load, report_path, options.seconds + 90)
             parts = {name: counters.total(name)
                      for name in ("recomputed_tokens", "retried_tokens", "prefilled_tokens", "overrun_ms")}
-        if not report_path.exists():
-            raise SystemExit(f"no report: {output}{errors}")
-        report = json.loads(report_path.read_text())
         cost = deployment.cost_cents() / max(report["tokens"], 1) * 1e6
         return (report["requests"], f"{report['first_token_ms']['p95']:.0f}",
                 f"{report['between_tokens_ms']['p95']:.1f}", f"{cost:.2f}", parts["recomputed_tokens"],
--- a/Tests/system/overload.py
+++ b/Tests/system/overload.py
@@ -2,7 +2,6 @@
 """Offers more load than the engines can serve and shows what happens to the requests that are answered and refused."""
 
 import argparse
-import json
 import sys
 
 import scenario
@@ -17,11 +16,9 @@
             load, report_path = deployment.load(
                 accounts=scenario.load_accounts(CARTLINE), model=CARTLINE.model, rate=rate,
                 duration=options.seconds, streaming_share=1, seed=options.seed)
-            output, errors = load.communicate(timeout=options.seconds + 90)
+            report = deployment.finish_load(load, report_path, options.seconds + 90)
             overrun = counters.total("overrun_ms")
-        if not report_path.exists():
-            raise SystemExit(f"no report: {output}{errors}")
-        return json.loads(report_path.read_text()), overrun
+        return report, overrun
 
 
 def main():
@@ -32,14 +29,15 @@
     parser.add_argument("--engine-queue", type=int, default=16, help="streams that wait inside an engine")
     parser.add_argument("--seed", type=int, default=7)
     options = parser.parse_args()
-    print("| requests/s | requests | whole | refused | lost | tokens/s | retries | p50 first token of the admitted try, ms | p95 | p99 | p95 first token with refused tries, ms | engine overrun, ms |")
+    print("| requests/s | requests | whole | refused | lost | tokens/s | retries | p50 first token of the admitted "
+          "try, ms | p95 | p99 | p95 first token with refused tries, ms | engine overrun, ms |")
     print("|" + "---|" * 12, flush=True)
     for rate in options.rates:
         report, overrun = run(options, rate)
         first = report["admitted_first_token_ms"]
         print(f"| {rate:.0f} | {report['requests']} | {report['whole']} | {report['refused']} | {report['lost']} | "
-              f"{report['tokens'] / options.seconds:.0f} | {report['retried']} | {first['p50']:.0f} | {first['p95']:.0f} | "
-              f"{first['p99']:.0f} | {report['first_token_ms']['p95']:.0f} | {overrun:.0f} |", flush=True)
+              f"{report['tokens'] / options.seconds:.0f} | {report['retried']} | {first['p50']:.0f} | "
+              f"{first['p95']:.0f} | {first['p99']:.0f} | {report['first_token_ms']['p95']:.0f} | {overrun:.0f} |", flush=True)
     return 0
 
 
--- a/Tests/system/relay_cost.py
+++ b/Tests/system/relay_cost.py
@@ -4,10 +4,8 @@
 Processor time is read from /proc, so other work on the machine changes the figure little."""
 
 import argparse
-import json
 import os
 import pathlib
-import statistics
 import sys
 
 import scenario
@@ -38,13 +36,12 @@
         pid = deployment.processes["entry"].handle.pid
         before = processor_seconds(pid)
         load, report_path = deployment.load(
-            accounts=scenario.load_accounts(CARTLINE), model=CARTLINE.model, rate=options.tokens_per_second / output_tokens,
-            duration=options.seconds, streaming_share=1, output_tokens=output_tokens, seed=options.seed)
-        _, errors = load.communicate(timeout=options.seconds + 90)
+            accounts=scenario.load_accounts(CARTLINE), model=CARTLINE.model,
+            rate=options.tokens_per_second / output_tokens, duration=options.seconds, streaming_share=1, output_tokens=output_tokens, seed=options.seed)
+        report = deployment.finish_load(load, report_path, options.seconds + 90)
         used = processor_seconds(pid) - before
-        report = json.loads(report_path.read_text())
         if report["whole"] != report["requests"]:
-            raise SystemExit(f"not all answers are whole: {report} {errors}")
+            raise SystemExit(f"not all answers are whole: {report}")
         return report["requests"], report["tokens"], used
 
 
@@ -60,8 +57,9 @@
     print("| tokens of an answer | requests | tokens | processor seconds | microseconds a token | tokens/s on one core |")
     print("|" + "---|" * 6, flush=True)
     for output_tokens in (100, 400, 1600):
-        rows = sorted((run(options, output_tokens) for _ in range(options.repetitions)), key=lambda row: row[2] / row[1])
-        requests, tokens, used = statistics.median_low(rows) if len(rows) == 1 else rows[len(rows) // 2]
+        rows = sorted((run(options, output_tokens) for _ in range(options.repetitions)),
+                      key=lambda row: row[2] / row[1])
+        requests, tokens, used = rows[len(rows) // 2]
         print(f"| {output_tokens} | {requests} | {tokens} | {used:.2f} | {used / tokens * 1e6:.2f} | "
               f"{tokens / used:.0f} |", flush=True)
     return 0
