Services: Ask several peers in one class and share engine requests

- peer_round sends one request to several peers and waits for all answers or a limit; the confirmation of a quarantine and the isolation of suspects had a copy each.
- The relay of an orphaned stream built its export and import requests and split the engine's lines as model_runner does: make_export, make_import, visit_engine_lines.
- platform_access_of replaces four copies, content_of two of the outbox.

--- a/Libraries/serving/include/siskinwharf/serving/token_line.h
+++ b/Libraries/serving/include/siskinwharf/serving/token_line.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -25,6 +27,18 @@
 /// Reads one line of an engine's stream. Returns nothing for a line of another form.
 [[nodiscard]] std::optional<engine_event> parse_engine_line(std::string_view line);
 
+/// Calls the visitor with each event of some whole lines of an engine's stream, in order.
+template<typename Visitor>
+void visit_engine_lines(std::string_view lines, Visitor visitor)
+{
+    while (!lines.empty()) {
+        const auto length = std::min(lines.find('\n'), lines.size());
+        if (auto event = parse_engine_line(lines.substr(0, length)))
+            std::visit(visitor, std::move(*event));
+        lines = lines.substr(std::min(length + 1, lines.size()));
+    }
+}
+
 /// Body of `POST /streams`.
 struct stream_order {
     std::string stream_id;
--- a/Services/siskinwharfd/src/caller_api.cpp
+++ b/Services/siskinwharfd/src/caller_api.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
+#include "engine_calls.h"
 #include "engine_relay.h"
 #include "reader_guard.h"
 #include "request_key.h"
@@ -368,13 +369,14 @@
     // A stream that was moved on a reclaim can run in another failure domain.
     std::partition(candidates.begin(), candidates.end(),
                    [&](const auto& endpoint) { return endpoint->domain == m_core.settings.failure_domain; });
-    const auto path = "/streams/" + http::percent_encode(request_key(account, id));
+    const auto stream_id = request_key(account, id);
+    const auto path = path_of_stream(stream_id);
     for (const auto& endpoint : candidates) {
         http::request query{"GET", path, "offset=" + std::to_string(offset), {}, ""};
-        const http::address target{endpoint->address, endpoint->port};
         std::unique_ptr<http::line_stream> stream;
         try {
-            stream = co_await m_worker.client().open(target, std::move(query), engine_query_timeout);
+            stream = co_await m_worker.client().open(address_of(*endpoint), std::move(query),
+                                                     engine_query_timeout);
         } catch (const http::call_error&) {
             continue;
         }
@@ -384,7 +386,7 @@
             id.value(), std::get<routing::model_target>(endpoint->serves).model.value(), 0};
         auto headers = stream_headers(id);
         co_await writer.begin(200, std::move(headers));
-        orphaned_stream orphan{account, identity, request_key(account, id), endpoint};
+        orphaned_stream orphan{account, identity, stream_id, endpoint};
         engine_relay relay(m_core, m_worker.client(), std::move(orphan), offset, writer);
         co_await relay.run(std::move(stream));
         co_return true;
--- a/Services/siskinwharfd/src/control_loop.cpp
+++ b/Services/siskinwharfd/src/control_loop.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "http_order_endpoint.h"
+#include "platform_access_of.h"
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/platform/http_platform.h"
 
@@ -45,10 +46,8 @@
 
 control_ports http_ports(const settings::settings& settings, http::client& client)
 {
-    platform::platform_access access{{settings.platform.ip, settings.platform.port},
-                                     settings.instance.value()};
     return {std::make_unique<http_order_endpoint>(client),
-            std::make_unique<platform::http_cloud_api>(client, std::move(access))};
+            std::make_unique<platform::http_cloud_api>(client, platform_access_of(settings))};
 }
 
 std::string to_text(const control::endpoint_configuration& wanted)
--- a/Services/siskinwharfd/src/engine_calls.cpp
+++ b/Services/siskinwharfd/src/engine_calls.cpp
@@ -26,6 +26,27 @@
     return message;
 }
 
+std::string path_of_stream(const std::string& stream_id)
+{
+    return "/streams/" + http::percent_encode(stream_id);
+}
+
+http::request make_export(const std::string& stream_id)
+{
+    return make_request("POST", path_of_stream(stream_id) + "/export", "", "{}");
+}
+
+http::request make_import(const std::string& stream_id, std::uint32_t attempt, const std::string& kv,
+                          std::uint64_t offset)
+{
+    boost::json::object body;
+    body["stream_id"] = stream_id;
+    body["attempt"] = attempt;
+    body["kv"] = kv;
+    body["offset"] = offset;
+    return make_request("POST", "/streams/import", "", boost::json::serialize(body));
+}
+
 std::string exported_cache_of(const std::string& body)
 {
     boost::system::error_code error;
--- a/Services/siskinwharfd/src/engine_calls.h
+++ b/Services/siskinwharfd/src/engine_calls.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 #include "live_request.h"
@@ -15,6 +16,14 @@
 [[nodiscard]] http::request make_request(std::string method, std::string path, std::string query,
                                          std::string body);
 
+/// Path of the requests about one stream.
+[[nodiscard]] std::string path_of_stream(const std::string& stream_id);
+/// Asks an engine for the KV cache of a stream, which stops there.
+[[nodiscard]] http::request make_export(const std::string& stream_id);
+/// Continues an exported stream at another engine. `offset` is the number of tokens known here.
+[[nodiscard]] http::request make_import(const std::string& stream_id, std::uint32_t attempt,
+                                        const std::string& kv, std::uint64_t offset);
+
 /// The exported KV cache in the answer of an engine, or an empty text.
 [[nodiscard]] std::string exported_cache_of(const std::string& body);
 
--- a/Services/siskinwharfd/src/engine_relay.cpp
+++ b/Services/siskinwharfd/src/engine_relay.cpp
@@ -1,7 +1,6 @@
 #include "engine_relay.h"
 
-#include <algorithm>
-#include <string_view>
+#include <type_traits>
 #include <utility>
 #include <vector>
 
@@ -63,18 +62,12 @@
         if (lines.empty())
             co_return;
         std::vector<std::string> tokens;
-        std::string_view rest = lines;
-        while (!rest.empty()) {
-            const auto length = std::min(rest.find('\n'), rest.size());
-            auto event = serving::parse_engine_line(rest.substr(0, length));
-            rest = rest.substr(std::min(length + 1, rest.size()));
-            if (auto* token = event ? std::get_if<serving::token_event>(&*event) : nullptr) {
-                if (token->offset == m_offset + tokens.size())
-                    tokens.push_back(std::move(token->token));
-            } else if (event) {
-                m_end = std::get<serving::end_event>(*event).offset;
-            }
-        }
+        serving::visit_engine_lines(lines, [&]<typename Event>(Event event) {
+            if constexpr (std::is_same_v<Event, serving::end_event>)
+                m_end = event.offset;
+            else if (event.offset == m_offset + tokens.size())
+                tokens.push_back(std::move(event.token));
+        });
         auto events = serving::render_events(m_stream.identity, tokens, m_offset);
         m_offset += tokens.size();
         co_await m_writer.write(std::move(events));
@@ -110,8 +103,7 @@
 {
     if (has_ended() || !m_exported_kv.empty() || !co_await is_leaving())
         co_return;
-    auto message =
-        make_request("POST", "/streams/" + http::percent_encode(m_stream.stream_id) + "/export", "", "{}");
+    auto message = make_export(m_stream.stream_id);
     try {
         const auto answer =
             co_await m_client.call(address_of(*m_stream.endpoint), std::move(message), move_timeout, false);
@@ -151,12 +143,7 @@
 asio::awaitable<std::unique_ptr<http::line_stream>>
 engine_relay::import_at(const routing::endpoint_info& endpoint, const std::string& kv)
 {
-    boost::json::object body;
-    body["stream_id"] = m_stream.stream_id;
-    body["attempt"] = ++m_attempt;
-    body["kv"] = kv;
-    body["offset"] = m_offset;
-    auto message = make_request("POST", "/streams/import", "", boost::json::serialize(body));
+    auto message = make_import(m_stream.stream_id, ++m_attempt, kv, m_offset);
     try {
         auto stream = co_await m_client.open(address_of(endpoint), std::move(message), move_timeout);
         if (stream->status() != 200) {
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "platform_access_of.h"
 #include "siskinwharf/base/event_log.h"
 
 namespace siskinwharf::entry {
@@ -65,9 +66,7 @@
 entry_process::entry_process(const settings::settings& configured)
     : m_core(configured, options_of(configured), now()),
       m_client(m_control.get_executor()),
-      m_table(m_client,
-              platform::platform_access{{m_core.settings.platform.ip, m_core.settings.platform.port},
-                                        m_core.settings.instance.value()}),
+      m_table(m_client, platform_access_of(m_core.settings)),
       m_committer(m_control, m_table),
       m_claim_service(m_control, m_committer),
       m_platform(m_control, m_core, m_client, make_instance_feed_ports(), make_observer()),
--- a/Services/siskinwharfd/src/instance_feed.cpp
+++ b/Services/siskinwharfd/src/instance_feed.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "platform_access_of.h"
 #include "siskinwharf/base/event_log.h"
 #include "unix_time.h"
 
@@ -97,8 +98,7 @@
                              instance_feed_ports ports, list_handler on_list)
     : m_context(context),
       m_core(core),
-      m_list(client, platform::platform_access{{core.settings.platform.ip, core.settings.platform.port},
-                                               core.settings.instance.value()}),
+      m_list(client, platform_access_of(core.settings)),
       m_ports(std::move(ports)),
       m_on_list(std::move(on_list)),
       m_share(membership::instance_share_options{}, core.settings.instance)
--- a/Services/siskinwharfd/src/isolation_exchange.cpp
+++ b/Services/siskinwharfd/src/isolation_exchange.cpp
@@ -39,17 +39,13 @@
 
 } // namespace
 
-/// One question to several peers. `wake` is cancelled when the last one has answered.
-struct isolation_exchange::round {
-    explicit round(asio::io_context& context) : wake(context, now() + answer_limit) {}
-
-    asio::steady_timer wake;
-    std::size_t open = 0;
+/// What the peers say to one question.
+struct isolation_exchange::answers {
     bool refused = false;
     std::vector<membership::member_info> busy;
 };
 
-isolation_exchange::isolation_exchange(asio::io_context& control, entry_core& core, quarantine_ports ports)
+isolation_exchange::isolation_exchange(asio::io_context& control, entry_core& core, peer_ports ports)
     : m_control(control), m_core(core), m_ports(std::move(ports))
 {
 }
@@ -96,16 +92,12 @@
     auto asked = m_ports.peers();
     asio::steady_timer timer(m_control);
     while (!asked.empty()) {
-        const auto state = std::make_shared<round>(m_control);
-        state->open = asked.size();
-        for (const auto& member : asked)
-            asio::co_spawn(m_control, ask(member, request, state), asio::detached);
-        if (state->open > 0)
-            co_await state->wake.async_wait(asio::as_tuple(asio::use_awaitable));
+        const auto state = ask(asked, request);
+        co_await state.round->wait(answer_limit);
         // The holds are given back when the suspect leaves the endpoint.
-        if (state->refused)
+        if (state.collected->refused)
             co_return false;
-        asked = std::move(state->busy);
+        asked = std::move(state.collected->busy);
         if (asked.empty())
             break;
         if (now() >= give_up_at)
@@ -116,31 +108,31 @@
     co_return true;
 }
 
-asio::awaitable<void> isolation_exchange::ask(membership::member_info member, peer::isolation_request request,
-                                              std::shared_ptr<round> state)
+isolation_exchange::question isolation_exchange::ask(const std::vector<membership::member_info>& peers,
+                                                     const peer::isolation_request& request)
 {
-    peer::message body = std::move(request);
-    const auto answer = co_await m_ports.request(member, std::move(body));
-    const auto* reply = answer ? std::get_if<peer::isolation_reply>(&*answer) : nullptr;
-    if (reply != nullptr && !reply->granted)
-        state->refused = true;
-    if (reply != nullptr && reply->granted && reply->in_flight > 0)
-        state->busy.push_back(std::move(member));
+    auto collected = std::make_shared<answers>();
     // After a refusal the other answers are waited for too: a release that overtook a question would leave
     // its hold behind.
-    if (--state->open == 0)
-        state->wake.cancel();
+    auto round = std::make_shared<peer_round>(
+        m_control, m_ports,
+        [collected](const membership::member_info& member, const std::optional<peer::message>& answer) {
+            const auto* reply = answer ? std::get_if<peer::isolation_reply>(&*answer) : nullptr;
+            if (reply == nullptr)
+                return;
+            if (!reply->granted)
+                collected->refused = true;
+            else if (reply->in_flight > 0)
+                collected->busy.push_back(member);
+        });
+    round->start(peers, request);
+    return {std::move(round), std::move(collected)};
 }
 
 void isolation_exchange::release(const endpoint_id& endpoint, const admission::content_key& suspect)
 {
     // The answers do not matter: a hold that is not given back expires.
-    const auto request = request_of(endpoint, suspect, milliseconds(0));
-    const auto peers = m_ports.peers();
-    const auto state = std::make_shared<round>(m_control);
-    state->open = peers.size();
-    for (const auto& member : peers)
-        asio::co_spawn(m_control, ask(member, request, state), asio::detached);
+    ask(m_ports.peers(), request_of(endpoint, suspect, milliseconds(0)));
 }
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/isolation_exchange.h
+++ b/Services/siskinwharfd/src/isolation_exchange.h
@@ -7,8 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "entry_core.h"
-#include "quarantine_exchange.h"
-#include "siskinwharf/membership/member_options.h"
+#include "peer_round.h"
 #include "siskinwharf/peer/messages.h"
 
 namespace siskinwharf::entry {
@@ -17,7 +16,7 @@
 /// an endpoint clear, and answers them. Confined to the control thread.
 class isolation_exchange {
 public:
-    isolation_exchange(boost::asio::io_context& control, entry_core& core, quarantine_ports ports);
+    isolation_exchange(boost::asio::io_context& control, entry_core& core, peer_ports ports);
     isolation_exchange(const isolation_exchange&) = delete;
     isolation_exchange& operator=(const isolation_exchange&) = delete;
     isolation_exchange(isolation_exchange&&) = delete;
@@ -36,17 +35,20 @@
                                               const peer::isolation_request& request);
 
 private:
-    struct round;
+    struct answers;
+    struct question {
+        std::shared_ptr<peer_round> round;
+        std::shared_ptr<isolation_exchange::answers> collected;
+    };
 
     boost::asio::awaitable<bool> claim_here(endpoint_id endpoint, admission::content_key suspect,
                                             monotonic_time give_up_at);
-    boost::asio::awaitable<void> ask(membership::member_info member, peer::isolation_request request,
-                                     std::shared_ptr<round> state);
+    question ask(const std::vector<membership::member_info>& peers, const peer::isolation_request& request);
     void release(const endpoint_id& endpoint, const admission::content_key& suspect);
 
     boost::asio::io_context& m_control;
     entry_core& m_core;
-    quarantine_ports m_ports;
+    peer_ports m_ports;
 };
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/model_runner.cpp
+++ b/Services/siskinwharfd/src/model_runner.cpp
@@ -1,10 +1,10 @@
 #include "model_runner.h"
 
 #include <limits>
+#include <type_traits>
 #include <utility>
 
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json.hpp>
 
 #include "attempt_ends.h"
 #include "engine_calls.h"
@@ -304,7 +304,7 @@
 
 asio::awaitable<attempt_end> model_runner::resume_attempt(routing::chosen_endpoint& chosen)
 {
-    const auto path = "/streams/" + http::percent_encode(stream_id_of(m_request->spec()));
+    const auto path = path_of_stream(stream_id_of(m_request->spec()));
     auto message = make_request("GET", path, "offset=" + std::to_string(m_request->tokens().size()), "");
     std::unique_ptr<http::line_stream> stream;
     try {
@@ -323,12 +323,8 @@
 
 asio::awaitable<attempt_end> model_runner::import_attempt(routing::chosen_endpoint& chosen, std::string kv)
 {
-    boost::json::object body;
-    body["stream_id"] = stream_id_of(m_request->spec());
-    body["attempt"] = m_request->assembler().begin_attempt();
-    body["kv"] = kv;
-    body["offset"] = m_request->tokens().size();
-    auto message = make_request("POST", "/streams/import", "", boost::json::serialize(body));
+    auto message = make_import(stream_id_of(m_request->spec()), m_request->assembler().begin_attempt(), kv,
+                               m_request->tokens().size());
     m_request->attach(chosen.endpoint, nullptr);
     std::unique_ptr<http::line_stream> stream;
     try {
@@ -390,21 +386,14 @@
 void model_runner::take_lines(const std::string& lines, bool& ended)
 {
     auto& assembler = m_request->assembler();
-    std::string_view rest = lines;
-    while (!rest.empty()) {
-        const auto end = rest.find('\n');
-        const auto line = rest.substr(0, end);
-        rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
-        auto event = serving::parse_engine_line(line);
-        if (!event)
-            continue;
-        if (auto* token = std::get_if<serving::token_event>(&*event)) {
-            assembler.accept({assembler.attempt(), token->offset, std::move(token->token)});
+    serving::visit_engine_lines(lines, [&]<typename Event>(Event event) {
+        if constexpr (std::is_same_v<Event, serving::token_event>) {
+            assembler.accept({assembler.attempt(), event.offset, std::move(event.token)});
         } else {
-            assembler.finish(assembler.attempt(), std::get<serving::end_event>(*event).offset);
+            assembler.finish(assembler.attempt(), event.offset);
             ended = true;
         }
-    }
+    });
 }
 
 asio::awaitable<void> model_runner::prepare_move()
@@ -416,8 +405,7 @@
     m_planned_target = move->to;
     if (!move->with_cache)
         co_return;
-    const auto path = "/streams/" + http::percent_encode(stream_id_of(m_request->spec())) + "/export";
-    auto message = make_request("POST", path, "", "{}");
+    auto message = make_export(stream_id_of(m_request->spec()));
     try {
         const auto answer =
             co_await m_client.call(address_of(*endpoint), std::move(message), export_timeout, false);
@@ -432,7 +420,7 @@
 
 asio::awaitable<void> model_runner::cancel_at(std::shared_ptr<const routing::endpoint_info> endpoint)
 {
-    const auto path = "/streams/" + http::percent_encode(stream_id_of(m_request->spec()));
+    const auto path = path_of_stream(stream_id_of(m_request->spec()));
     auto message = make_request("DELETE", path, "", "");
     try {
         co_await m_client.call(address_of(*endpoint), std::move(message), header_timeout);
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -66,8 +66,8 @@
       m_holders([this](instance_id holder, peer::address contact, peer::message body, milliseconds timeout) {
           return request_once(std::move(holder), std::move(contact), std::move(body), timeout);
       }),
-      m_quarantine(control, core, make_quarantine_ports()),
-      m_isolation(control, core, make_quarantine_ports())
+      m_quarantine(control, core, make_peer_ports()),
+      m_isolation(control, core, make_peer_ports())
 {
 }
 
@@ -281,9 +281,9 @@
     return result;
 }
 
-quarantine_ports peer_node::make_quarantine_ports()
+peer_ports peer_node::make_peer_ports()
 {
-    quarantine_ports result;
+    peer_ports result;
     result.peers = [this] {
         return working_peers();
     };
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -110,7 +110,7 @@
                                                           peer::message body, milliseconds timeout);
     void note_missed_sheet(std::uint64_t version);
     [[nodiscard]] load_ports make_load_ports();
-    [[nodiscard]] quarantine_ports make_quarantine_ports();
+    [[nodiscard]] peer_ports make_peer_ports();
     [[nodiscard]] std::vector<membership::member_info> working_peers() const;
 
     boost::asio::io_context& m_control;
--- /dev/null
+++ b/Services/siskinwharfd/src/platform_access_of.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "siskinwharf/platform/http_platform.h"
+#include "siskinwharf/settings/settings.h"
+
+namespace siskinwharf::entry {
+
+/// Where the platform is, and as whom this process asks.
+[[nodiscard]] inline platform::platform_access platform_access_of(const settings::settings& settings)
+{
+    return {{settings.platform.ip, settings.platform.port}, settings.instance.value()};
+}
+
+} // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/platform_sync.cpp
+++ b/Services/siskinwharfd/src/platform_sync.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "platform_access_of.h"
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/sheet/sheet_rows.h"
 #include "unix_time.h"
@@ -22,11 +23,6 @@
 /// seconds.
 constexpr milliseconds assumed_notice{2'000};
 
-platform::platform_access access_of(const settings::settings& settings)
-{
-    return {{settings.platform.ip, settings.platform.port}, settings.instance.value()};
-}
-
 struct target_of_workload {
     std::optional<routing::target> operator()(const platform::serves_entry&) const { return std::nullopt; }
     std::optional<routing::target> operator()(const platform::serves_model& serves) const
@@ -82,7 +78,7 @@
     : m_context(context),
       m_core(core),
       m_observer(std::move(watcher)),
-      m_table(client, access_of(core.settings)),
+      m_table(client, platform_access_of(core.settings)),
       m_instances(
           context, core, client, std::move(peers),
           [this](const std::vector<platform::instance_record>& records) { apply_instances(records); }),
--- a/Services/siskinwharfd/src/quarantine_exchange.cpp
+++ b/Services/siskinwharfd/src/quarantine_exchange.cpp
@@ -37,14 +37,6 @@
 
 } // namespace
 
-/// Peers that have not yet confirmed a quarantine. `wake` is cancelled when the last one has.
-struct quarantine_exchange::confirmation {
-    explicit confirmation(asio::io_context& context) : wake(context, now() + confirmation_limit) {}
-
-    asio::steady_timer wake;
-    std::size_t open = 0;
-};
-
 peer::quarantine_update to_update(const std::vector<admission::quarantine_record>& records)
 {
     peer::quarantine_update result;
@@ -68,7 +60,7 @@
     return result;
 }
 
-quarantine_exchange::quarantine_exchange(asio::io_context& control, entry_core& core, quarantine_ports ports)
+quarantine_exchange::quarantine_exchange(asio::io_context& control, entry_core& core, peer_ports ports)
     : m_control(control), m_core(core), m_ports(std::move(ports))
 {
 }
@@ -123,21 +115,10 @@
     const auto peers = m_ports.peers();
     if (records.empty() || peers.empty())
         co_return;
-    const auto state = std::make_shared<confirmation>(m_control);
-    state->open = peers.size();
-    for (const auto& member : peers)
-        asio::co_spawn(m_control, confirm_at(member, to_update(records), state), asio::detached);
-    // A request that fails at once has cancelled the timer before it is waited for.
-    if (state->open > 0)
-        co_await state->wake.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
-asio::awaitable<void> quarantine_exchange::confirm_at(membership::member_info member, peer::message body,
-                                                      std::shared_ptr<confirmation> state)
-{
-    co_await m_ports.request(std::move(member), std::move(body));
-    if (--state->open == 0)
-        state->wake.cancel();
+    const auto confirmation = std::make_shared<peer_round>(
+        m_control, m_ports, [](const membership::member_info&, const std::optional<peer::message>&) {});
+    confirmation->start(peers, to_update(records));
+    co_await confirmation->wait(confirmation_limit);
 }
 
 void quarantine_exchange::publish(const std::vector<admission::quarantine_record>& records)
--- a/Services/siskinwharfd/src/quarantine_exchange.h
+++ b/Services/siskinwharfd/src/quarantine_exchange.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <functional>
-#include <memory>
 #include <optional>
 #include <vector>
 
@@ -9,8 +7,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include "entry_core.h"
+#include "peer_round.h"
 #include "quarantine_outbox.h"
-#include "siskinwharf/membership/member_options.h"
 #include "siskinwharf/peer/messages.h"
 
 namespace siskinwharf::entry {
@@ -18,23 +16,12 @@
 [[nodiscard]] peer::quarantine_update to_update(const std::vector<admission::quarantine_record>& records);
 [[nodiscard]] std::vector<admission::quarantine_record> to_records(const peer::quarantine_update& update);
 
-/// What the exchange needs from the peer node.
-struct quarantine_ports {
-    /// Working entry processes of the failure domain without this one.
-    std::function<std::vector<membership::member_info>()> peers;
-    std::function<void(const membership::member_info&, const peer::message&)> send;
-    /// Nothing if no reply came.
-    std::function<boost::asio::awaitable<std::optional<peer::message>>(membership::member_info,
-                                                                       peer::message)>
-        request;
-};
-
 /// Keeps the quarantine the same at all entry processes of the failure domain (P8): sends what this process
 /// finds out, takes in what the peers send, and fetches the existing entries when the process starts.
 /// Confined to the control thread.
 class quarantine_exchange {
 public:
-    quarantine_exchange(boost::asio::io_context& control, entry_core& core, quarantine_ports ports);
+    quarantine_exchange(boost::asio::io_context& control, entry_core& core, peer_ports ports);
 
     /// Starts to exchange entries. The process is not ready until the existing ones are known.
     void start();
@@ -48,12 +35,8 @@
                                                 const peer::quarantine_update& update);
 
 private:
-    struct confirmation;
-
     boost::asio::awaitable<void> confirm(admission::content_key key);
     boost::asio::awaitable<void> confirm_here(admission::content_key key);
-    boost::asio::awaitable<void> confirm_at(membership::member_info member, peer::message body,
-                                            std::shared_ptr<confirmation> state);
     void publish(const std::vector<admission::quarantine_record>& records);
     void flush();
     boost::asio::awaitable<void> run_flushes();
@@ -64,7 +47,7 @@
 
     boost::asio::io_context& m_control;
     entry_core& m_core;
-    quarantine_ports m_ports;
+    peer_ports m_ports;
     quarantine_outbox m_outbox{outbox_limits{}};
     std::optional<std::size_t> m_listed_peers; ///< Nothing until the instance list was read.
 };
--- a/Services/siskinwharfd/src/quarantine_outbox.cpp
+++ b/Services/siskinwharfd/src/quarantine_outbox.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <limits>
 #include <tuple>
 
@@ -34,6 +35,26 @@
            other_bytes;
 }
 
+/// The first records that fit a datagram, and their bytes. One record always fits.
+struct datagram_content {
+    std::size_t records = 0;
+    std::size_t bytes = 0;
+};
+
+template<typename Records, typename Projection>
+datagram_content content_of(const Records& records, Projection record_of)
+{
+    datagram_content result;
+    for (const auto& each : records) {
+        const auto size = encoded_size(record_of(each));
+        if (result.records > 0 && result.bytes + size > datagram_records_bytes)
+            break;
+        result.bytes += size;
+        ++result.records;
+    }
+    return result;
+}
+
 /// A missing quarantine costs an endpoint at the next resend, a missing suspect less, and a missing clear
 /// nothing at once.
 std::size_t urgency(const quarantine_record& record)
@@ -135,15 +156,8 @@
     for (std::size_t count = 0; count < peers.size() && !m_fresh.empty(); ++count) {
         const auto& peer = peers[m_next_peer % peers.size()];
         auto due = due_for(peer, now);
-        std::size_t bytes = 0;
-        std::size_t fitting = 0;
-        for (const auto* fresh : due) {
-            const auto size = encoded_size(fresh->record);
-            if (fitting > 0 && bytes + size > datagram_records_bytes)
-                break;
-            bytes += size;
-            ++fitting;
-        }
+        const auto [fitting, bytes] = content_of(
+            due, [](const fresh_record* fresh) -> const quarantine_record& { return fresh->record; });
         // The peer whose turn it is keeps it until the budget allows its datagram.
         if (fitting > 0 && !pay(datagram_header_bytes + bytes))
             return;
@@ -172,15 +186,7 @@
     std::ranges::sort(records, {}, &quarantine_record::key);
     const auto after = std::ranges::upper_bound(records, m_repeated, {}, &quarantine_record::key);
     std::rotate(records.begin(), after, records.end());
-    std::size_t bytes = 0;
-    std::size_t fitting = 0;
-    while (fitting < records.size()) {
-        const auto size = encoded_size(records[fitting]);
-        if (fitting > 0 && bytes + size > datagram_records_bytes)
-            break;
-        bytes += size;
-        ++fitting;
-    }
+    const auto [fitting, bytes] = content_of(records, std::identity{});
     if (!pay(datagram_header_bytes + bytes))
         return;
     records.resize(fitting);
--- a/Services/siskinwharfd/tests/isolation_exchange_test.cpp
+++ b/Services/siskinwharfd/tests/isolation_exchange_test.cpp
@@ -49,14 +49,14 @@
 
     std::map<instance_id, std::vector<peer::isolation_reply>> answers;
     std::map<instance_id, std::vector<peer::isolation_request>> asked;
-    quarantine_ports ports{[] {
-                               return std::vector<membership::member_info>{{first, {"127.0.0.1", 1}},
-                                                                           {second, {"127.0.0.1", 2}}};
-                           },
-                           [](const membership::member_info&, const peer::message&) {},
-                           [this](membership::member_info member, peer::message body) {
-                               return answer(std::move(member.member), std::move(body));
-                           }};
+    peer_ports ports{[] {
+                         return std::vector<membership::member_info>{{first, {"127.0.0.1", 1}},
+                                                                     {second, {"127.0.0.1", 2}}};
+                     },
+                     [](const membership::member_info&, const peer::message&) {},
+                     [this](membership::member_info member, peer::message body) {
+                         return answer(std::move(member.member), std::move(body));
+                     }};
     isolation_exchange exchange{context, core, ports};
 };
 
