--- a/Tests/standins/engine/main.cpp
+++ b/Tests/standins/engine/main.cpp
@@ -1,13 +1,5 @@
-#include <cstdlib>
-#include <exception>
-
-#include <sys/resource.h>
-
-#include <boost/asio/io_context.hpp>
-#include <fmt/format.h>
-
-#include "command_line.h"
 #include "engine.h"
+#include "run_standin.h"
 
 namespace {
 
@@ -45,8 +37,6 @@
 {
     if (options.fencing != "checked" && options.fencing != "ignored")
         throw command_line_error("--fencing: not checked or ignored: " + options.fencing);
-    if (options.port < 0 || options.port > 65'535)
-        throw command_line_error(fmt::format("--port: not a port: {}", options.port));
     if (options.capacity < 1 || options.prefill_chunk_tokens < 1 || options.queue_limit < 0)
         throw command_line_error("--capacity and --prefill-chunk-tokens are at least 1, --queue-limit 0");
 }
@@ -56,27 +46,14 @@
 int main(int argument_count, const char** arguments)
 {
     namespace standins = siskinwharf::standins;
-    try {
+    return standins::run_standin("engine_standin", [&](boost::asio::io_context& context) {
         engine_options options;
         command_line line;
         add_options(line, options);
         line.parse(argument_count, arguments);
         check_options(options);
-        // Crashes are part of the tests; their core files would only fill the disk.
-        const rlimit no_core{0, 0};
-        setrlimit(RLIMIT_CORE, &no_core);
-        boost::asio::io_context context{1};
-        standins::process_actions actions;
-        actions.crash = [] {
-            std::abort();
-        };
-        actions.exit = [&context] {
-            context.stop();
-        };
-        standins::engine engine(context, options, actions);
-        return standins::run_server(context, engine.server(), static_cast<std::uint16_t>(options.port));
-    } catch (const std::exception& error) {
-        fmt::print(stderr, "engine_standin: {}\n", error.what());
-        return 2;
-    }
+        const auto port = standins::checked_port(options.port);
+        standins::engine engine(context, options, standins::end_process(context));
+        return standins::run_server(context, engine.server(), port);
+    });
 }
--- a/Tests/standins/platform/main.cpp
+++ b/Tests/standins/platform/main.cpp
@@ -1,10 +1,5 @@
-#include <exception>
-
-#include <boost/asio/io_context.hpp>
-#include <fmt/format.h>
-
-#include "command_line.h"
 #include "platform_service.h"
+#include "run_standin.h"
 
 namespace {
 
@@ -30,18 +25,13 @@
 int main(int argument_count, const char** arguments)
 {
     namespace standins = siskinwharf::standins;
-    try {
+    return standins::run_standin("platform_standin", [&](boost::asio::io_context& context) {
         platform_options options;
         command_line line;
         add_options(line, options);
         line.parse(argument_count, arguments);
-        if (options.port < 0 || options.port > 65'535)
-            throw standins::command_line_error(fmt::format("--port: not a port: {}", options.port));
-        boost::asio::io_context context{1};
+        const auto port = standins::checked_port(options.port);
         standins::platform_service platform(context, options);
-        return standins::run_server(context, platform.server(), static_cast<std::uint16_t>(options.port));
-    } catch (const std::exception& error) {
-        fmt::print(stderr, "platform_standin: {}\n", error.what());
-        return 2;
-    }
+        return standins::run_server(context, platform.server(), port);
+    });
 }
--- a/Tests/standins/service/main.cpp
+++ b/Tests/standins/service/main.cpp
@@ -1,14 +1,9 @@
 #include <cstdio>
-#include <cstdlib>
-#include <exception>
 
-#include <sys/resource.h>
-
-#include <boost/asio/io_context.hpp>
 #include <fmt/format.h>
 
-#include "command_line.h"
 #include "plain_service.h"
+#include "run_standin.h"
 
 namespace {
 
@@ -36,28 +31,13 @@
 int main(int argument_count, const char** arguments)
 {
     namespace standins = siskinwharf::standins;
-    try {
+    return standins::run_standin("service_standin", [&](boost::asio::io_context& context) {
         service_options options;
         command_line line;
         add_options(line, options);
         line.parse(argument_count, arguments);
-        if (options.port < 0 || options.port > 65'535)
-            throw standins::command_line_error(fmt::format("--port: not a port: {}", options.port));
-        // Crashes are part of the tests; their core files would only fill the disk.
-        const rlimit no_core{0, 0};
-        setrlimit(RLIMIT_CORE, &no_core);
-        boost::asio::io_context context{1};
-        standins::process_actions actions;
-        actions.crash = [] {
-            std::abort();
-        };
-        actions.exit = [&context] {
-            context.stop();
-        };
-        standins::plain_service service(context, options, actions, print_execution);
-        return standins::run_server(context, service.server(), static_cast<std::uint16_t>(options.port));
-    } catch (const std::exception& error) {
-        fmt::print(stderr, "service_standin: {}\n", error.what());
-        return 2;
-    }
+        const auto port = standins::checked_port(options.port);
+        standins::plain_service service(context, options, standins::end_process(context), print_execution);
+        return standins::run_server(context, service.server(), port);
+    });
 }
