Services: Join seeds with the advertised address

Without peers.advertise nothing changes; test_readiness passes. No test has seeds together with a relay.

--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -35,6 +35,12 @@
     return {address.ip, address.port};
 }
 
+/// Where peers reach this process.
+peer::address own_contact(const settings::settings& settings)
+{
+    return contact_of(settings.advertised_to_peers.value_or(settings.listen.peers));
+}
+
 const event_kind& event_of(membership::member_change change)
 {
     switch (change) {
@@ -59,8 +65,7 @@
       m_core(core),
       m_committer(committer),
       m_callbacks(std::move(callbacks)),
-      m_members(membership::member_options{}, core.settings.instance,
-                contact_of(core.settings.advertised_to_peers.value_or(core.settings.listen.peers)),
+      m_members(membership::member_options{}, core.settings.instance, own_contact(core.settings),
                 unix_milliseconds()),
       m_loads(control, core, client, make_load_ports()),
       m_holders([this](instance_id holder, peer::address contact, peer::message body, milliseconds timeout) {
@@ -402,9 +407,9 @@
     const auto& seeds = m_core.settings.peer_seeds;
     if (seeds.empty() || !working_peers().empty())
         co_return;
-    const peer::address self = contact_of(m_core.settings.listen.peers);
+    const auto self = own_contact(m_core.settings);
     const auto contact = contact_of(seeds[m_next_seed++ % seeds.size()]);
-    if (contact == self)
+    if (contact == self || contact == contact_of(m_core.settings.listen.peers))
         co_return;
     peer::message body = peer::member_join{
         {m_core.settings.instance, self, peer::member_state::alive, m_members.incarnation()}};
