--- a/Services/siskinwharfd/src/capacity_executor.cpp
+++ b/Services/siskinwharfd/src/capacity_executor.cpp
@@ -15,39 +15,39 @@
 constexpr std::uint64_t microcents_per_cent = 1'000'000;
 constexpr std::uint64_t percent = 100;
 
-control::instance_kind to_control(platform::purchase_kind kind)
+control::instance_kind to_control(cloud::purchase_kind kind)
 {
-    return kind == platform::purchase_kind::reclaimable ? control::instance_kind::reclaimable
+    return kind == cloud::purchase_kind::reclaimable ? control::instance_kind::reclaimable
                                                         : control::instance_kind::on_demand;
 }
 
-platform::purchase_kind to_platform(control::instance_kind kind)
+cloud::purchase_kind to_platform(control::instance_kind kind)
 {
-    return kind == control::instance_kind::reclaimable ? platform::purchase_kind::reclaimable
-                                                       : platform::purchase_kind::on_demand;
+    return kind == control::instance_kind::reclaimable ? cloud::purchase_kind::reclaimable
+                                                       : cloud::purchase_kind::on_demand;
 }
 
-control::offer_key key_of(const platform::instance_record& record)
+control::offer_key key_of(const cloud::instance_record& record)
 {
     return {record.domain, record.machine_class,
             record.reclaimable ? control::instance_kind::reclaimable : control::instance_kind::on_demand};
 }
 
-control::offer_key key_of(const platform::cloud_instance& instance)
+control::offer_key key_of(const cloud::cloud_instance& instance)
 {
     return {instance.domain, instance.machine_class, to_control(instance.kind)};
 }
 
-bool is_model_endpoint(const platform::instance_record& record)
+bool is_model_endpoint(const cloud::instance_record& record)
 {
-    return std::holds_alternative<platform::serves_model>(record.serves) && !record.leaving;
+    return std::holds_alternative<cloud::serves_model>(record.serves) && !record.leaving;
 }
 
 /// Whether the instance exists or will, and nobody has announced its end.
-bool counts(const platform::cloud_instance& instance)
+bool counts(const cloud::cloud_instance& instance)
 {
-    return instance.state == platform::cloud_instance_state::starting ||
-           instance.state == platform::cloud_instance_state::running;
+    return instance.state == cloud::cloud_instance_state::starting ||
+           instance.state == cloud::cloud_instance_state::running;
 }
 
 control::capacity_offer* find_offer(control::capacity_situation& situation, const control::offer_key& key)
@@ -57,13 +57,13 @@
 }
 
 /// Instances that run but are not in the instance list serve nothing yet.
-std::vector<platform::cloud_instance> unlisted(const std::vector<platform::cloud_instance>& instances,
-                                               const std::vector<platform::instance_record>& records)
+std::vector<cloud::cloud_instance> unlisted(const std::vector<cloud::cloud_instance>& instances,
+                                               const std::vector<cloud::instance_record>& records)
 {
     std::set<instance_id> listed;
     for (const auto& record : records)
         listed.insert(record.id);
-    std::vector<platform::cloud_instance> result;
+    std::vector<cloud::cloud_instance> result;
     std::ranges::copy_if(instances, std::back_inserter(result), [&](const auto& instance) {
         return counts(instance) && !listed.contains(instance.id);
     });
@@ -104,7 +104,7 @@
 
 } // namespace
 
-capacity_executor::capacity_executor(entry_core& core, platform::cloud_api& cloud,
+capacity_executor::capacity_executor(entry_core& core, cloud::cloud_api& cloud,
                                      std::function<monotonic_time()> clock)
     : m_core(core), m_cloud(cloud), m_clock(std::move(clock))
 {
@@ -115,23 +115,23 @@
     return {key.domain.value(), key.machine_class, key.kind};
 }
 
-asio::awaitable<void> capacity_executor::run(std::vector<platform::instance_record> records,
+asio::awaitable<void> capacity_executor::run(std::vector<cloud::instance_record> records,
                                              std::uint64_t fencing, permission_check permitted)
 {
     const auto sheet = m_core.sheets.current();
     if (sheet == nullptr)
         co_return;
     const auto offers = co_await m_cloud.offers();
-    const auto* offered = std::get_if<std::vector<platform::cloud_offer>>(&offers);
+    const auto* offered = std::get_if<std::vector<cloud::cloud_offer>>(&offers);
     if (offered == nullptr)
         co_return;
     const auto instances = co_await m_cloud.instances();
-    const auto* started = std::get_if<std::vector<platform::cloud_instance>>(&instances);
+    const auto* started = std::get_if<std::vector<cloud::cloud_instance>>(&instances);
     if (started == nullptr)
         co_return;
     for (auto& [key, tokens] : m_uncertain_tokens)
         std::erase_if(tokens, [&](const std::string& token) {
-            return std::ranges::find(*started, token, &platform::cloud_instance::client_token) !=
+            return std::ranges::find(*started, token, &cloud::cloud_instance::client_token) !=
                    started->end();
         });
     auto situation = look(*offered, *started, records, sheet->value);
@@ -149,9 +149,9 @@
     }
 }
 
-control::capacity_situation capacity_executor::look(const std::vector<platform::cloud_offer>& offers,
-                                                    const std::vector<platform::cloud_instance>& instances,
-                                                    const std::vector<platform::instance_record>& records,
+control::capacity_situation capacity_executor::look(const std::vector<cloud::cloud_offer>& offers,
+                                                    const std::vector<cloud::cloud_instance>& instances,
+                                                    const std::vector<cloud::instance_record>& records,
                                                     const sheet::sheet& sheet) const
 {
     control::capacity_situation situation;
@@ -183,7 +183,7 @@
     return situation;
 }
 
-std::uint32_t capacity_executor::estimate_demand(const std::vector<platform::instance_record>& records) const
+std::uint32_t capacity_executor::estimate_demand(const std::vector<cloud::instance_record>& records) const
 {
     // FIXME: Use the domain summaries of the peers. Until then the other failure domains are taken to be as
     // busy as the own one, and a domain without endpoints takes the others to be full.
@@ -216,7 +216,7 @@
 {
     auto& uncertain = m_uncertain_tokens[tuple_of(key)];
     for (std::uint32_t number = 0; number < count && permitted(); ++number) {
-        platform::start_request wanted{key.machine_class, key.domain, to_platform(key.kind), ""};
+        cloud::start_request wanted{key.machine_class, key.domain, to_platform(key.kind), ""};
         if (number < uncertain.size())
             wanted.client_token = uncertain[number];
         else
@@ -228,16 +228,16 @@
                                       {"action", "start"},
                                       {"fencing", std::to_string(fencing)}});
         const auto result = co_await m_cloud.start(std::move(wanted));
-        if (std::holds_alternative<platform::cloud_instance>(result)) {
+        if (std::holds_alternative<cloud::cloud_instance>(result)) {
             m_planner.start_accepted(key);
             continue;
         }
-        if (const auto* refused = std::get_if<platform::cloud_refused>(&result)) {
+        if (const auto* refused = std::get_if<cloud::cloud_refused>(&result)) {
             log_event(event::order_refused,
                       {{"class", key.machine_class}, {"reason", std::string(to_string(refused->reason))}});
             m_planner.start_refused(key, m_clock());
         }
-        if (std::holds_alternative<platform::cloud_uncertain>(result) &&
+        if (std::holds_alternative<cloud::cloud_uncertain>(result) &&
             std::ranges::find(uncertain, token) == uncertain.end())
             uncertain.push_back(token);
         co_return;
@@ -246,7 +246,7 @@
 
 asio::awaitable<void>
 capacity_executor::stop_instances(control::offer_key key, std::uint32_t count,
-                                  const std::vector<platform::cloud_instance>& candidates,
+                                  const std::vector<cloud::cloud_instance>& candidates,
                                   const permission_check& permitted)
 {
     // FIXME: Stop instances that serve, after the routing of the whole failure domain has drained them. A
--- a/Services/siskinwharfd/src/capacity_executor.h
+++ b/Services/siskinwharfd/src/capacity_executor.h
@@ -11,8 +11,8 @@
 
 #include "entry_core.h"
 #include "siskinwharf/control/capacity_planner.h"
-#include "siskinwharf/platform/cloud_api.h"
-#include "siskinwharf/platform/instance_list.h"
+#include "siskinwharf/cloud/cloud_api.h"
+#include "siskinwharf/cloud/instance_list.h"
 
 namespace siskinwharf::entry {
 
@@ -23,31 +23,31 @@
     /// Whether a request that changes something may be sent now.
     using permission_check = std::function<bool()>;
 
-    capacity_executor(entry_core& core, platform::cloud_api& cloud, std::function<monotonic_time()> clock);
+    capacity_executor(entry_core& core, cloud::cloud_api& cloud, std::function<monotonic_time()> clock);
 
     /// Reads the state of the cloud, plans, and executes the plan while `permitted` says so. `fencing` makes
     /// the client tokens of different lease holders differ.
-    boost::asio::awaitable<void> run(std::vector<platform::instance_record> records, std::uint64_t fencing,
+    boost::asio::awaitable<void> run(std::vector<cloud::instance_record> records, std::uint64_t fencing,
                                      permission_check permitted);
 
 private:
     using key_tuple = std::tuple<std::string, std::string, control::instance_kind>;
 
-    [[nodiscard]] control::capacity_situation look(const std::vector<platform::cloud_offer>& offers,
-                                                   const std::vector<platform::cloud_instance>& instances,
-                                                   const std::vector<platform::instance_record>& records,
+    [[nodiscard]] control::capacity_situation look(const std::vector<cloud::cloud_offer>& offers,
+                                                   const std::vector<cloud::cloud_instance>& instances,
+                                                   const std::vector<cloud::instance_record>& records,
                                                    const sheet::sheet& sheet) const;
     /// Streams that all failure domains serve now.
-    [[nodiscard]] std::uint32_t estimate_demand(const std::vector<platform::instance_record>& records) const;
+    [[nodiscard]] std::uint32_t estimate_demand(const std::vector<cloud::instance_record>& records) const;
     boost::asio::awaitable<void> start_instances(control::offer_key key, std::uint32_t count,
                                                  std::uint64_t fencing, const permission_check& permitted);
     boost::asio::awaitable<void> stop_instances(control::offer_key key, std::uint32_t count,
-                                                const std::vector<platform::cloud_instance>& candidates,
+                                                const std::vector<cloud::cloud_instance>& candidates,
                                                 const permission_check& permitted);
     [[nodiscard]] static key_tuple tuple_of(const control::offer_key& key);
 
     entry_core& m_core;
-    platform::cloud_api& m_cloud;
+    cloud::cloud_api& m_cloud;
     std::function<monotonic_time()> m_clock;
     control::capacity_planner m_planner{control::capacity_settings{}};
     std::uint64_t m_next_token = 1;
--- a/Services/siskinwharfd/src/claim_committer.cpp
+++ b/Services/siskinwharfd/src/claim_committer.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-claim_committer::claim_committer(asio::io_context& control, platform::table_store& table)
+claim_committer::claim_committer(asio::io_context& control, cloud::table_store& table)
     : m_control(control), m_table(table), m_wake(control)
 {
 }
@@ -34,14 +34,14 @@
 
 // The operations are named objects: g++ 12 destroys temporaries of a co_await expression twice in some cases.
 
-asio::awaitable<platform::commit_result> claim_committer::commit(platform::table_write write,
+asio::awaitable<cloud::commit_result> claim_committer::commit(cloud::table_write write,
                                                                  monotonic_time limit)
 {
     auto operation = route(std::move(write), limit);
     co_return co_await asio::co_spawn(m_control, std::move(operation), asio::use_awaitable);
 }
 
-asio::awaitable<platform::commit_result> claim_committer::route(platform::table_write write,
+asio::awaitable<cloud::commit_result> claim_committer::route(cloud::table_write write,
                                                                 monotonic_time limit)
 {
     if (m_route != nullptr) {
@@ -52,12 +52,12 @@
     co_return co_await commit_here(std::move(write), limit);
 }
 
-asio::awaitable<platform::commit_result> claim_committer::commit_here(platform::table_write write,
+asio::awaitable<cloud::commit_result> claim_committer::commit_here(cloud::table_write write,
                                                                       monotonic_time limit)
 {
     const auto ticket = m_batcher.submit(std::move(write), now());
     if (!ticket)
-        co_return platform::table_unavailable{};
+        co_return cloud::table_unavailable{};
     const auto waiting = std::make_shared<waiting_write>(m_control, limit);
     m_waiting.emplace(*ticket, waiting);
     m_wake.cancel();
@@ -67,11 +67,11 @@
         co_return *waiting->result;
     m_waiting.erase(*ticket);
     if (m_batcher.withdraw(*ticket))
-        co_return platform::table_unavailable{};
-    co_return platform::table_uncertain{};
+        co_return cloud::table_unavailable{};
+    co_return cloud::table_uncertain{};
 }
 
-asio::awaitable<platform::read_result> claim_committer::read(std::string key)
+asio::awaitable<cloud::read_result> claim_committer::read(std::string key)
 {
     auto operation = m_table.read(std::move(key));
     co_return co_await asio::co_spawn(m_control, std::move(operation), asio::use_awaitable);
--- a/Services/siskinwharfd/src/claim_committer.h
+++ b/Services/siskinwharfd/src/claim_committer.h
@@ -13,7 +13,7 @@
 #include "siskinwharf/claims/claim.h"
 #include "siskinwharf/claims/claim_batcher.h"
 #include "siskinwharf/claims/claim_cleanup.h"
-#include "siskinwharf/platform/table_store.h"
+#include "siskinwharf/cloud/table_store.h"
 
 namespace siskinwharf::entry {
 
@@ -29,7 +29,7 @@
 
     /// Commits a write, or returns nothing if the write certainly was not and will not be sent that way. Ends
     /// at the limit at the latest.
-    virtual boost::asio::awaitable<std::optional<platform::commit_result>> commit(platform::table_write write,
+    virtual boost::asio::awaitable<std::optional<cloud::commit_result>> commit(cloud::table_write write,
                                                                                   monotonic_time limit) = 0;
 };
 
@@ -37,7 +37,7 @@
 /// confined to the control thread; the awaitable functions may be called from any thread.
 class claim_committer {
 public:
-    claim_committer(boost::asio::io_context& control, platform::table_store& table);
+    claim_committer(boost::asio::io_context& control, cloud::table_store& table);
 
     /// Tries another way first for each write of the process's own attempts. Must be called before the first
     /// write; the route must outlive the last one.
@@ -48,11 +48,11 @@
 
     /// Commits a write, here or through the route. At the limit a write that was not sent to the table is
     /// `table_unavailable`, and one that was sent is `table_uncertain`.
-    boost::asio::awaitable<platform::commit_result> commit(platform::table_write write, monotonic_time limit);
+    boost::asio::awaitable<cloud::commit_result> commit(cloud::table_write write, monotonic_time limit);
     /// Commits a write in the groups of this process. Must be awaited on the control thread.
-    boost::asio::awaitable<platform::commit_result> commit_here(platform::table_write write,
+    boost::asio::awaitable<cloud::commit_result> commit_here(cloud::table_write write,
                                                                 monotonic_time limit);
-    boost::asio::awaitable<platform::read_result> read(std::string key);
+    boost::asio::awaitable<cloud::read_result> read(std::string key);
     /// Notes that an attempt is running here.
     boost::asio::awaitable<void> begin(claims::attempt_number attempt);
     /// Notes that an attempt has ended, with the row that is still to be written, if any.
@@ -66,10 +66,10 @@
         waiting_write(boost::asio::io_context& context, monotonic_time limit) : wake(context, limit) {}
 
         boost::asio::steady_timer wake;
-        std::optional<platform::commit_result> result;
+        std::optional<cloud::commit_result> result;
     };
 
-    boost::asio::awaitable<platform::commit_result> route(platform::table_write write, monotonic_time limit);
+    boost::asio::awaitable<cloud::commit_result> route(cloud::table_write write, monotonic_time limit);
     boost::asio::awaitable<void> begin_here(claims::attempt_number attempt);
     boost::asio::awaitable<void> end_here(claims::attempt_number attempt,
                                           std::optional<claims::claim_obligation> open);
@@ -80,7 +80,7 @@
     boost::asio::awaitable<void> write_final_row(claims::cleanup_write write);
 
     boost::asio::io_context& m_control;
-    platform::table_store& m_table;
+    cloud::table_store& m_table;
     claim_route* m_route = nullptr;
     claims::claim_batcher m_batcher{claims::batch_limits{}};
     claims::claim_cleanup m_cleanup{claims::cleanup_limits{}};
--- a/Services/siskinwharfd/src/claim_forwarder.cpp
+++ b/Services/siskinwharfd/src/claim_forwarder.cpp
@@ -32,14 +32,14 @@
 {
 }
 
-void claim_forwarder::waiting_write::end(std::optional<platform::commit_result> with)
+void claim_forwarder::waiting_write::end(std::optional<cloud::commit_result> with)
 {
     result = std::move(with);
     ended = true;
     wake.cancel();
 }
 
-asio::awaitable<std::optional<platform::commit_result>> claim_forwarder::commit(platform::table_write write,
+asio::awaitable<std::optional<cloud::commit_result>> claim_forwarder::commit(cloud::table_write write,
                                                                                 monotonic_time limit)
 {
     if (!write.value || m_queue.size() >= m_limits.maximum_queued || !usable_committer())
@@ -52,9 +52,9 @@
     if (waiting->ended)
         co_return waiting->result;
     if (waiting->sent)
-        co_return platform::table_uncertain{};
+        co_return cloud::table_uncertain{};
     std::erase(m_queue, waiting);
-    co_return platform::table_unavailable{};
+    co_return cloud::table_unavailable{};
 }
 
 std::optional<claim_peer> claim_forwarder::usable_committer() const
@@ -120,7 +120,7 @@
 void claim_forwarder::finish(const claim_peer& committer, const group& writes,
                              const peer::request_result& result)
 {
-    const auto end_all = [&writes](const std::optional<platform::commit_result>& with) {
+    const auto end_all = [&writes](const std::optional<cloud::commit_result>& with) {
         for (const auto& waiting : writes)
             waiting->end(with);
     };
@@ -132,7 +132,7 @@
             return end_all(std::nullopt);
         }
         avoid(committer, "no_answer");
-        return end_all(platform::table_uncertain{});
+        return end_all(cloud::table_uncertain{});
     }
     const auto* reply = std::get_if<peer::claim_commit_reply>(&std::get<peer::message>(result));
     if (reply != nullptr && !reply->accepted) {
@@ -141,7 +141,7 @@
     }
     if (reply == nullptr || reply->results.size() != writes.size()) {
         avoid(committer, "wrong_answer");
-        return end_all(platform::table_uncertain{});
+        return end_all(cloud::table_uncertain{});
     }
     finish(committer, writes, *reply);
 }
--- a/Services/siskinwharfd/src/claim_forwarder.h
+++ b/Services/siskinwharfd/src/claim_forwarder.h
@@ -59,23 +59,23 @@
 public:
     claim_forwarder(boost::asio::io_context& control, forwarding_ports ports, forwarding_limits limits = {});
 
-    boost::asio::awaitable<std::optional<platform::commit_result>> commit(platform::table_write write,
+    boost::asio::awaitable<std::optional<cloud::commit_result>> commit(cloud::table_write write,
                                                                           monotonic_time limit) override;
 
 private:
     struct waiting_write {
-        waiting_write(boost::asio::io_context& context, platform::table_write wanted, monotonic_time limit)
+        waiting_write(boost::asio::io_context& context, cloud::table_write wanted, monotonic_time limit)
             : write(std::move(wanted)), wake(context, limit)
         {
         }
 
-        void end(std::optional<platform::commit_result> with);
+        void end(std::optional<cloud::commit_result> with);
 
-        platform::table_write write;
+        cloud::table_write write;
         boost::asio::steady_timer wake;
         bool sent = false;
         bool ended = false;
-        std::optional<platform::commit_result> result; ///< Nothing: it was not sent.
+        std::optional<cloud::commit_result> result; ///< Nothing: it was not sent.
     };
     using group = std::vector<std::shared_ptr<waiting_write>>;
 
--- a/Services/siskinwharfd/src/claim_holders.cpp
+++ b/Services/siskinwharfd/src/claim_holders.cpp
@@ -11,11 +11,11 @@
 
 } // namespace
 
-void claim_holders::update(const std::vector<platform::instance_record>& records)
+void claim_holders::update(const std::vector<cloud::instance_record>& records)
 {
     m_contacts.clear();
     for (const auto& record : records) {
-        if (std::holds_alternative<platform::serves_entry>(record.serves) && record.peer_port != 0)
+        if (std::holds_alternative<cloud::serves_entry>(record.serves) && record.peer_port != 0)
             m_contacts[record.id] = {record.address, record.peer_port};
     }
 }
--- a/Services/siskinwharfd/src/claim_holders.h
+++ b/Services/siskinwharfd/src/claim_holders.h
@@ -12,7 +12,7 @@
 #include "siskinwharf/claims/claim_identity.h"
 #include "siskinwharf/peer/messages.h"
 #include "siskinwharf/peer/transport_options.h"
-#include "siskinwharf/platform/instance_list.h"
+#include "siskinwharf/cloud/instance_list.h"
 
 namespace siskinwharf::entry {
 
@@ -25,7 +25,7 @@
     explicit claim_holders(request_function request) : m_request(std::move(request)) {}
 
     /// Takes the peer addresses of all entry processes from the instance list.
-    void update(const std::vector<platform::instance_record>& records);
+    void update(const std::vector<cloud::instance_record>& records);
     /// Asks a holder at `contact`, or where the instance list says. A holder that is not listed, does not
     /// answer within the time limit or knows nothing of the attempt is `holder_unknown`.
     boost::asio::awaitable<claims::holder_reply> ask(instance_id holder, std::optional<peer::address> contact,
--- a/Services/siskinwharfd/src/claim_messages.cpp
+++ b/Services/siskinwharfd/src/claim_messages.cpp
@@ -2,27 +2,27 @@
 
 namespace siskinwharf::entry {
 
-peer::claim_write to_claim_write(const platform::table_write& write)
+peer::claim_write to_claim_write(const cloud::table_write& write)
 {
-    const auto* condition = std::get_if<platform::require_version>(&write.condition);
+    const auto* condition = std::get_if<cloud::require_version>(&write.condition);
     return {write.key, write.value.value(), condition == nullptr ? 0 : condition->version};
 }
 
-platform::table_write to_table_write(peer::claim_write write)
+cloud::table_write to_table_write(peer::claim_write write)
 {
-    platform::table_write result{std::move(write.key), std::move(write.value), platform::require_absent{}};
+    cloud::table_write result{std::move(write.key), std::move(write.value), cloud::require_absent{}};
     if (write.version != 0)
-        result.condition = platform::require_version{write.version};
+        result.condition = cloud::require_version{write.version};
     return result;
 }
 
-peer::claim_write_result to_write_result(const platform::commit_result& result)
+peer::claim_write_result to_write_result(const cloud::commit_result& result)
 {
-    if (std::holds_alternative<platform::table_committed>(result))
+    if (std::holds_alternative<cloud::table_committed>(result))
         return {peer::claim_write_state::committed, {}, 0};
-    if (std::holds_alternative<platform::table_unavailable>(result))
+    if (std::holds_alternative<cloud::table_unavailable>(result))
         return {peer::claim_write_state::unavailable, {}, 0};
-    const auto* conflict = std::get_if<platform::table_conflict>(&result);
+    const auto* conflict = std::get_if<cloud::table_conflict>(&result);
     if (conflict == nullptr)
         return {peer::claim_write_state::uncertain, {}, 0};
     if (conflict->rows.empty() || !conflict->rows.front().current)
@@ -31,22 +31,22 @@
     return {peer::claim_write_state::conflict, current.value, current.version};
 }
 
-platform::commit_result to_commit_result(const peer::claim_write_result& result, const std::string& key)
+cloud::commit_result to_commit_result(const peer::claim_write_result& result, const std::string& key)
 {
     switch (result.state) {
     case peer::claim_write_state::committed:
-        return platform::table_committed{};
+        return cloud::table_committed{};
     case peer::claim_write_state::unavailable:
-        return platform::table_unavailable{};
+        return cloud::table_unavailable{};
     case peer::claim_write_state::uncertain:
-        return platform::table_uncertain{};
+        return cloud::table_uncertain{};
     case peer::claim_write_state::conflict:
         break;
     }
-    platform::table_conflict conflict;
+    cloud::table_conflict conflict;
     conflict.rows.push_back({0, std::nullopt});
     if (result.version != 0)
-        conflict.rows.front().current = platform::table_row{key, result.current, result.version};
+        conflict.rows.front().current = cloud::table_row{key, result.current, result.version};
     return conflict;
 }
 
--- a/Services/siskinwharfd/src/control_loop.cpp
+++ b/Services/siskinwharfd/src/control_loop.cpp
@@ -13,7 +13,7 @@
 #include "http_order_endpoint.h"
 #include "platform_access_of.h"
 #include "siskinwharf/base/event_log.h"
-#include "siskinwharf/platform/http_platform.h"
+#include "siskinwharf/cloud/http_platform.h"
 
 namespace siskinwharf::entry {
 
@@ -47,7 +47,7 @@
 control_ports http_ports(const settings::settings& settings, http::client& client)
 {
     return {std::make_unique<http_order_endpoint>(client),
-            std::make_unique<platform::http_cloud_api>(client, platform_access_of(settings))};
+            std::make_unique<cloud::http_cloud_api>(client, platform_access_of(settings))};
 }
 
 std::string to_text(const control::endpoint_configuration& wanted)
@@ -57,7 +57,7 @@
 
 } // namespace
 
-control_loop::control_loop(asio::io_context& context, entry_core& core, platform::table_store& table,
+control_loop::control_loop(asio::io_context& context, entry_core& core, cloud::table_store& table,
                            http::client& client, leaving_handler on_leaving,
                            rollout_executor::state_handler on_rollout)
     : control_loop(context, core, table, http_ports(core.settings, client), std::move(on_leaving),
@@ -65,7 +65,7 @@
 {
 }
 
-control_loop::control_loop(asio::io_context& context, entry_core& core, platform::table_store& table,
+control_loop::control_loop(asio::io_context& context, entry_core& core, cloud::table_store& table,
                            control_ports ports, leaving_handler on_leaving,
                            rollout_executor::state_handler on_rollout)
     : m_context(context),
@@ -269,7 +269,7 @@
 {
     const auto asked_at = m_ports.clock();
     const auto result = co_await m_ports.cloud->notices(m_last_notice);
-    const auto* page = std::get_if<platform::notice_page>(&result);
+    const auto* page = std::get_if<cloud::notice_page>(&result);
     if (page == nullptr)
         co_return;
     m_last_notice = page->last;
--- a/Services/siskinwharfd/src/control_loop.h
+++ b/Services/siskinwharfd/src/control_loop.h
@@ -18,15 +18,15 @@
 #include "siskinwharf/control/lease_holder.h"
 #include "siskinwharf/control/order_planner.h"
 #include "siskinwharf/http/client.h"
-#include "siskinwharf/platform/cloud_api.h"
-#include "siskinwharf/platform/table_store.h"
+#include "siskinwharf/cloud/cloud_api.h"
+#include "siskinwharf/cloud/table_store.h"
 
 namespace siskinwharf::entry {
 
 /// What the control loop acts through.
 struct control_ports {
     std::unique_ptr<order_endpoint> endpoints;
-    std::unique_ptr<platform::cloud_api> cloud;
+    std::unique_ptr<cloud::cloud_api> cloud;
     std::function<monotonic_time()> clock = now;
 };
 
@@ -38,15 +38,15 @@
 
     /// `on_leaving` is called with instances that the cloud takes back and when each is gone, `on_rollout`
     /// with versions and drains of endpoints for all entry processes of the failure domain.
-    control_loop(boost::asio::io_context& context, entry_core& core, platform::table_store& table,
+    control_loop(boost::asio::io_context& context, entry_core& core, cloud::table_store& table,
                  http::client& client, leaving_handler on_leaving,
                  rollout_executor::state_handler on_rollout);
-    control_loop(boost::asio::io_context& context, entry_core& core, platform::table_store& table,
+    control_loop(boost::asio::io_context& context, entry_core& core, cloud::table_store& table,
                  control_ports ports, leaving_handler on_leaving, rollout_executor::state_handler on_rollout);
 
     void start();
     /// Takes in the instance list.
-    void update(const std::vector<platform::instance_record>& records) { m_records = records; }
+    void update(const std::vector<cloud::instance_record>& records) { m_records = records; }
     /// Does what is due: brings the lease up to date, then starts due orders, plans and reads, which may
     /// still run when this returns.
     boost::asio::awaitable<void> step();
@@ -72,14 +72,14 @@
 
     boost::asio::io_context& m_context;
     entry_core& m_core;
-    platform::table_store& m_table;
+    cloud::table_store& m_table;
     control_ports m_ports;
     leaving_handler m_on_leaving;
     control::lease_holder m_lease;
     control::order_planner m_orders{control::order_settings{}};
     rollout_executor m_rollout;
     capacity_executor m_capacity;
-    std::vector<platform::instance_record> m_records;
+    std::vector<cloud::instance_record> m_records;
     std::map<endpoint_id, assigned_model> m_assigned;
     std::optional<std::uint64_t> m_noted_fencing;
     monotonic_time m_capacity_at;
--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -135,7 +135,7 @@
         for (auto& own : m_workers)
             asio::post(own->context(), [&own, endpoints] { own->reclaims().on_restored(endpoints); });
     };
-    result.on_instances = [this](const std::vector<platform::instance_record>& records) {
+    result.on_instances = [this](const std::vector<cloud::instance_record>& records) {
         m_peers->apply_instances(records);
         m_control_loop.update(records);
         m_summaries.update(records);
@@ -228,10 +228,10 @@
     co_return co_await asio::co_spawn(m_control, std::move(operation), asio::use_awaitable);
 }
 
-void entry_process::note_entry_instances(const std::vector<platform::instance_record>& records)
+void entry_process::note_entry_instances(const std::vector<cloud::instance_record>& records)
 {
     for (const auto& record : records) {
-        if (!std::holds_alternative<platform::serves_entry>(record.serves))
+        if (!std::holds_alternative<cloud::serves_entry>(record.serves))
             continue;
         m_entry_addresses[record.id] = {record.address, record.port};
         if (record.id != m_core.settings.instance || !record.leaving || m_core.stopping)
--- a/Services/siskinwharfd/src/entry_process.h
+++ b/Services/siskinwharfd/src/entry_process.h
@@ -53,13 +53,13 @@
     boost::asio::awaitable<void> hand_over_requests();
     boost::asio::awaitable<std::optional<http::address>> find_holder(request_id id);
     boost::asio::awaitable<std::optional<http::address>> find_holder_here(request_id id);
-    void note_entry_instances(const std::vector<platform::instance_record>& records);
+    void note_entry_instances(const std::vector<cloud::instance_record>& records);
     boost::asio::awaitable<std::size_t> count_active();
 
     entry_core m_core;
     boost::asio::io_context m_control{1};
     http::client m_client;
-    platform::http_table_store m_table;
+    cloud::http_table_store m_table;
     claim_committer m_committer;
     claim_commit_service m_claim_service;
     std::vector<std::unique_ptr<worker>> m_workers;
--- /dev/null
+++ b/Services/siskinwharfd/src/forwarding_process.cpp
@@ -0,0 +1,239 @@
+#include "forwarding_process.h"
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <random>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "siskinwharf/base/event_log.h"
+#include "siskinwharf/forwarding/deployment_watch.h"
+#include "siskinwharf/forwarding/duty_runner.h"
+#include "siskinwharf/forwarding/peer_exchange.h"
+#include "siskinwharf/forwarding/request_runner.h"
+#include "siskinwharf/platform/call_headers.h"
+#include "siskinwharf/platform/duty_client.h"
+#include "siskinwharf/platform/settings_file.h"
+#include "siskinwharf/platform/store_client.h"
+#include "siskinwharf/settings/settings_error.h"
+
+namespace siskinwharf::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+/// After a request to stop, connections are accepted until the load balancer has seen the failing readiness check
+/// twice, at one check a second.
+constexpr milliseconds drain_time{3'000};
+/// The process ends this long before it would be killed.
+constexpr milliseconds stop_margin{400};
+constexpr milliseconds stop_poll{50};
+constexpr std::uint32_t most_connections = 3'000;
+constexpr int not_ready_status = 503;
+
+std::string read_file(const std::string& path)
+{
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+std::uint64_t random_number()
+{
+    std::random_device random;
+    constexpr unsigned half_bits = 32;
+    return (std::uint64_t{random()} << half_bits) | random();
+}
+
+http::address to_address(const settings::socket_address& address)
+{
+    return {address.ip, address.port};
+}
+
+http::server_limits limits_of(const deployment::caller_limits& limits)
+{
+    http::server_limits result;
+    result.header_bytes = limits.header_bytes;
+    result.body_bytes = limits.body_bytes;
+    result.request_timeout = limits.header_timeout;
+    result.idle_timeout = limits.idle_timeout;
+    result.connections = most_connections;
+    return result;
+}
+
+usage::wall_time wall_clock()
+{
+    return std::chrono::time_point_cast<milliseconds>(std::chrono::system_clock::now());
+}
+
+} // namespace
+
+class forwarding_process::implementation {
+public:
+    explicit implementation(std::string settings_path)
+        : m_settings_path(std::move(settings_path)),
+          m_settings(platform::load_process_settings(read_file(m_settings_path))),
+          m_start(random_number()),
+          m_client(m_context.get_executor()),
+          m_store(m_client, to_address(m_settings.store), m_settings.regions),
+          m_duty_client(m_client, to_address(m_settings.duties)),
+          m_state(m_settings, m_start, wall_clock(), std::chrono::steady_clock::now()),
+          m_runner(m_context.get_executor(), m_state, m_codec, m_client, m_metrics),
+          m_peers(m_context, m_settings, m_state, m_start),
+          m_watch(m_context, m_store, m_client, m_state, m_peers, [this] { apply_limits(); }),
+          m_duties(m_context, m_settings, m_store, m_duty_client, m_state, m_peers, m_start),
+          m_callers(m_context, to_address(m_settings.callers), limits_of({}),
+                    [this](http::request message, http::response_writer& writer) {
+                        return m_runner.handle(std::move(message), writer);
+                    }),
+          m_readiness(m_context, to_address(m_settings.readiness), http::server_limits{},
+                      [this](http::request message, http::response_writer& writer) {
+                          return answer_readiness(std::move(message), writer);
+                      }),
+          m_peer_server(m_context, to_address(m_settings.peers), http::server_limits{},
+                        [this](http::request message, http::response_writer& writer) {
+                            return answer_peer(std::move(message), writer);
+                        }),
+          m_metrics_server(m_context, to_address(m_settings.metrics), http::server_limits{},
+                           [this](http::request message, http::response_writer& writer) {
+                               return answer_metrics(std::move(message), writer);
+                           }),
+          m_signals(m_context, SIGTERM, SIGHUP)
+    {
+    }
+
+    void run()
+    {
+        log_event(event::process_started, {{"instance", m_settings.instance.value()},
+                                           {"domain", m_settings.domain.value()},
+                                           {"start", std::to_string(m_start)}});
+        m_peers.start();
+        m_watch.start();
+        m_watch.register_process({m_settings.instance, m_settings.peers.ip, m_settings.peers.port});
+        m_duties.start();
+        m_callers.start();
+        m_readiness.start();
+        m_peer_server.start();
+        m_metrics_server.start();
+        asio::co_spawn(m_context, handle_signals(), asio::detached);
+        m_context.run();
+        log_event(event::process_stopped);
+    }
+
+private:
+    asio::awaitable<void> handle_signals()
+    {
+        while (true) {
+            const auto [error, number] = co_await m_signals.async_wait(use_tuple);
+            if (error)
+                co_return;
+            if (number == SIGHUP)
+                reload();
+            else if (!std::exchange(m_is_stopping, true))
+                asio::co_spawn(m_context, stop(), asio::detached);
+        }
+    }
+
+    /// Addresses and identity of a running process do not change; a faulty file changes nothing.
+    void reload()
+    {
+        try {
+            const auto fresh = platform::load_process_settings(read_file(m_settings_path));
+            log_event(event::settings_reloaded, {{"changed", fresh == m_settings ? "no" : "yes"}});
+        } catch (const settings::settings_error& error) {
+            for (const auto& fault : error.faults())
+                log_event(event::settings_rejected, {{"fault", settings::to_string(fault)}});
+        }
+    }
+
+    asio::awaitable<void> stop()
+    {
+        const auto started = std::chrono::steady_clock::now();
+        log_event(event::process_stopping, {{"active", std::to_string(m_callers.active_requests())}});
+        m_peers.set_leaving();
+        m_duties.stop();
+        m_callers.begin_drain();
+        asio::steady_timer timer(m_context, drain_time);
+        co_await timer.async_wait(use_tuple);
+        m_callers.stop_accepting();
+        const auto give_up_at = started + m_settings.bounds.stop_time - stop_margin;
+        while (m_callers.active_requests() > 0 && std::chrono::steady_clock::now() < give_up_at) {
+            timer.expires_after(stop_poll);
+            co_await timer.async_wait(use_tuple);
+        }
+        m_context.stop();
+    }
+
+    void apply_limits()
+    {
+        m_callers.set_limits(limits_of(m_state.configuration()->content().limits));
+        if (!std::exchange(m_was_ready, true))
+            log_event(event::process_ready,
+                      {{"configuration", std::to_string(m_state.configuration()->version())}});
+    }
+
+    asio::awaitable<void> answer_readiness(http::request /*message*/, http::response_writer& writer)
+    {
+        const bool is_ready = m_state.is_ready() && !m_is_stopping;
+        http::response answer{is_ready ? 200 : not_ready_status, {}, ""};
+        co_await writer.send(std::move(answer));
+    }
+
+    asio::awaitable<void> answer_peer(http::request /*message*/, http::response_writer& writer)
+    {
+        auto answer = http::json_response(200, m_watch.encode_state());
+        co_await writer.send(std::move(answer));
+    }
+
+    asio::awaitable<void> answer_metrics(http::request /*message*/, http::response_writer& writer)
+    {
+        http::response answer{200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.render_prometheus()};
+        co_await writer.send(std::move(answer));
+    }
+
+    std::string m_settings_path;
+    forwarding::process_settings m_settings;
+    std::uint64_t m_start;
+    asio::io_context m_context{1};
+    http::client m_client;
+    platform::call_headers m_codec;
+    platform::store_client m_store;
+    platform::duty_client m_duty_client;
+    telemetry::metrics_registry m_metrics;
+    forwarding::traffic_state m_state;
+    forwarding::request_runner m_runner;
+    forwarding::peer_exchange m_peers;
+    forwarding::deployment_watch m_watch;
+    forwarding::duty_runner m_duties;
+    http::server m_callers;
+    http::server m_readiness;
+    http::server m_peer_server;
+    http::server m_metrics_server;
+    asio::signal_set m_signals;
+    bool m_is_stopping = false;
+    bool m_was_ready = false;
+};
+
+forwarding_process::forwarding_process(std::string settings_path)
+    : m_implementation(std::make_unique<implementation>(std::move(settings_path)))
+{
+}
+
+forwarding_process::~forwarding_process() = default;
+
+void forwarding_process::run()
+{
+    m_implementation->run();
+}
+
+} // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/instance_feed.cpp
+++ b/Services/siskinwharfd/src/instance_feed.cpp
@@ -25,21 +25,21 @@
 struct workload_writer {
     peer::instance_entry& entry;
 
-    void operator()(const platform::serves_entry&) const { entry.kind = peer::workload_kind::entry; }
-    void operator()(const platform::serves_model& serves) const
+    void operator()(const cloud::serves_entry&) const { entry.kind = peer::workload_kind::entry; }
+    void operator()(const cloud::serves_model& serves) const
     {
         entry.kind = peer::workload_kind::model;
         entry.serves = serves.model.value();
         entry.version = serves.version;
     }
-    void operator()(const platform::serves_service& serves) const
+    void operator()(const cloud::serves_service& serves) const
     {
         entry.kind = peer::workload_kind::service;
         entry.serves = serves.service.value();
     }
 };
 
-peer::instance_entry to_entry(const platform::instance_record& record)
+peer::instance_entry to_entry(const cloud::instance_record& record)
 {
     peer::instance_entry entry;
     entry.id = record.id;
@@ -59,22 +59,22 @@
     return entry;
 }
 
-platform::served_workload to_workload(const peer::instance_entry& entry)
+cloud::served_workload to_workload(const peer::instance_entry& entry)
 {
     switch (entry.kind) {
     case peer::workload_kind::entry:
-        return platform::serves_entry{};
+        return cloud::serves_entry{};
     case peer::workload_kind::model:
-        return platform::serves_model{model_id(entry.serves), entry.version};
+        return cloud::serves_model{model_id(entry.serves), entry.version};
     case peer::workload_kind::service:
-        return platform::serves_service{service_id(entry.serves)};
+        return cloud::serves_service{service_id(entry.serves)};
     }
-    return platform::serves_entry{};
+    return cloud::serves_entry{};
 }
 
-platform::instance_record to_record(const peer::instance_entry& entry)
+cloud::instance_record to_record(const peer::instance_entry& entry)
 {
-    platform::instance_record record;
+    cloud::instance_record record;
     record.id = entry.id;
     record.address = entry.address;
     record.port = entry.port;
@@ -131,13 +131,13 @@
     const std::string known = m_share.tag();
     auto result = co_await m_list.read(known);
     std::optional<peer::instance_changes> news;
-    if (auto* listed = std::get_if<platform::listed_instances>(&result)) {
+    if (auto* listed = std::get_if<cloud::listed_instances>(&result)) {
         std::vector<peer::instance_entry> entries;
         entries.reserve(listed->records.size());
         for (const auto& record : listed->records)
             entries.push_back(to_entry(record));
         news = m_share.list_read(now(), m_random, unix_milliseconds(), entries, std::move(listed->tag));
-    } else if (std::holds_alternative<platform::list_unchanged>(result)) {
+    } else if (std::holds_alternative<cloud::list_unchanged>(result)) {
         news = m_share.list_unchanged(now(), m_random, known);
     } else {
         m_share.read_failed(now(), m_random);
@@ -200,7 +200,7 @@
     m_hand_out_at = now() + hand_out_period;
     m_handed_out = m_share.digest();
     const auto entries = m_share.entries(now());
-    std::vector<platform::instance_record> records;
+    std::vector<cloud::instance_record> records;
     records.reserve(entries.size());
     for (const auto& entry : entries)
         records.push_back(to_record(entry));
--- a/Services/siskinwharfd/src/instance_feed.h
+++ b/Services/siskinwharfd/src/instance_feed.h
@@ -12,7 +12,7 @@
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/membership/instance_share.h"
 #include "siskinwharf/membership/member_options.h"
-#include "siskinwharf/platform/http_platform.h"
+#include "siskinwharf/cloud/http_platform.h"
 
 namespace siskinwharf::entry {
 
@@ -34,7 +34,7 @@
 /// `membership::instance_share` decides. Runs on the control thread.
 class instance_feed {
 public:
-    using list_handler = std::function<void(const std::vector<platform::instance_record>&)>;
+    using list_handler = std::function<void(const std::vector<cloud::instance_record>&)>;
 
     /// `on_list` is called with the whole list after each change, after `request_list` and now and then.
     instance_feed(boost::asio::io_context& context, entry_core& core, http::client& client,
@@ -57,7 +57,7 @@
 
     boost::asio::io_context& m_context;
     entry_core& m_core;
-    platform::http_instance_list m_list;
+    cloud::http_instance_list m_list;
     instance_feed_ports m_ports;
     list_handler m_on_list;
     std::mt19937_64 m_random{std::random_device{}()};
--- a/Services/siskinwharfd/src/model_assignment.cpp
+++ b/Services/siskinwharfd/src/model_assignment.cpp
@@ -24,7 +24,7 @@
     });
 }
 
-assigned_model assign(const platform::instance_record& record, model_need& need)
+assigned_model assign(const cloud::instance_record& record, model_need& need)
 {
     --need.missing;
     assigned_model result;
@@ -56,7 +56,7 @@
 } // namespace
 
 std::map<endpoint_id, assigned_model> assign_models(const sheet::sheet& sheet,
-                                                    const std::vector<platform::instance_record>& records,
+                                                    const std::vector<cloud::instance_record>& records,
                                                     const failure_domain_id& domain)
 {
     std::map<endpoint_id, assigned_model> result;
@@ -68,9 +68,9 @@
         const bool is_needed = is_granted(sheet, model, own->region);
         needs.push_back({&model, is_needed ? std::int64_t{model.minimum_replicas} : 0});
     }
-    std::map<endpoint_id, const platform::instance_record*> open;
+    std::map<endpoint_id, const cloud::instance_record*> open;
     for (const auto& record : records) {
-        const auto* serves = std::get_if<platform::serves_model>(&record.serves);
+        const auto* serves = std::get_if<cloud::serves_model>(&record.serves);
         if (serves == nullptr || record.leaving || record.domain != domain)
             continue;
         const endpoint_id id(record.id.value());
@@ -84,7 +84,7 @@
     }
     // In the order of the ids, so that every holder of the lease assigns the same.
     for (const auto& [id, record] : open) {
-        if (auto* need = choose(needs, std::get<platform::serves_model>(record->serves).model))
+        if (auto* need = choose(needs, std::get<cloud::serves_model>(record->serves).model))
             result.emplace(id, assign(*record, *need));
     }
     return result;
--- a/Services/siskinwharfd/src/model_assignment.h
+++ b/Services/siskinwharfd/src/model_assignment.h
@@ -5,7 +5,7 @@
 
 #include "siskinwharf/control/order_planner.h"
 #include "siskinwharf/http/message.h"
-#include "siskinwharf/platform/instance_list.h"
+#include "siskinwharf/cloud/instance_list.h"
 #include "siskinwharf/sheet/sheet.h"
 
 namespace siskinwharf::entry {
@@ -22,7 +22,7 @@
 /// otherwise the model that lacks the most replicas. Engines that no model needs, and leaving ones, get
 /// nothing.
 [[nodiscard]] std::map<endpoint_id, assigned_model>
-assign_models(const sheet::sheet& sheet, const std::vector<platform::instance_record>& records,
+assign_models(const sheet::sheet& sheet, const std::vector<cloud::instance_record>& records,
               const failure_domain_id& domain);
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/peer_node.cpp
+++ b/Services/siskinwharfd/src/peer_node.cpp
@@ -107,13 +107,13 @@
     return m_transport ? m_transport->counters() : peer::transport_counters{};
 }
 
-void peer_node::apply_instances(const std::vector<platform::instance_record>& records)
+void peer_node::apply_instances(const std::vector<cloud::instance_record>& records)
 {
     m_holders.update(records);
     std::vector<membership::listed_instance> listed;
     m_remote_entries.clear();
     for (const auto& record : records) {
-        if (!std::holds_alternative<platform::serves_entry>(record.serves) || record.peer_port == 0)
+        if (!std::holds_alternative<cloud::serves_entry>(record.serves) || record.peer_port == 0)
             continue;
         const peer::address contact{record.address, record.peer_port};
         if (record.domain == m_core.settings.failure_domain)
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -21,7 +21,7 @@
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/membership/member_table.h"
 #include "siskinwharf/peer/peer_transport.h"
-#include "siskinwharf/platform/instance_list.h"
+#include "siskinwharf/cloud/instance_list.h"
 
 namespace siskinwharf::entry {
 
@@ -54,7 +54,7 @@
     /// Tells the peers that this process leaves, and closes the sockets.
     void stop();
 
-    void apply_instances(const std::vector<platform::instance_record>& records);
+    void apply_instances(const std::vector<cloud::instance_record>& records);
     /// Tells all members about endpoints at once.
     void announce(const std::vector<peer::endpoint_notice>& notices);
     void relay(const std::vector<peer::endpoint_notice>& notices);
--- a/Services/siskinwharfd/src/platform_sync.cpp
+++ b/Services/siskinwharfd/src/platform_sync.cpp
@@ -24,18 +24,18 @@
 constexpr milliseconds assumed_notice{2'000};
 
 struct target_of_workload {
-    std::optional<routing::target> operator()(const platform::serves_entry&) const { return std::nullopt; }
-    std::optional<routing::target> operator()(const platform::serves_model& serves) const
+    std::optional<routing::target> operator()(const cloud::serves_entry&) const { return std::nullopt; }
+    std::optional<routing::target> operator()(const cloud::serves_model& serves) const
     {
         return routing::model_target{serves.model, serves.version};
     }
-    std::optional<routing::target> operator()(const platform::serves_service& serves) const
+    std::optional<routing::target> operator()(const cloud::serves_service& serves) const
     {
         return routing::service_target{serves.service};
     }
 };
 
-std::optional<routing::endpoint_info> to_endpoint(const platform::instance_record& record)
+std::optional<routing::endpoint_info> to_endpoint(const cloud::instance_record& record)
 {
     auto serves = std::visit(target_of_workload{}, record.serves);
     if (!serves)
@@ -81,7 +81,7 @@
       m_table(client, platform_access_of(core.settings)),
       m_instances(
           context, core, client, std::move(peers),
-          [this](const std::vector<platform::instance_record>& records) { apply_instances(records); }),
+          [this](const std::vector<cloud::instance_record>& records) { apply_instances(records); }),
       m_sheet_schedule(now()),
       m_sheet_timer(context)
 {
@@ -105,7 +105,7 @@
 asio::awaitable<bool> platform_sync::fetch_sheet()
 {
     const auto current = co_await m_table.read(std::string(sheet::current_key));
-    const auto* row = std::get_if<std::optional<platform::table_row>>(&current);
+    const auto* row = std::get_if<std::optional<cloud::table_row>>(&current);
     if (row == nullptr)
         co_return false;
     const auto version = *row ? sheet::parse_version((*row)->value).value_or(0) : 0;
@@ -115,12 +115,12 @@
     // A process that starts during a rollout needs the versions of the preceding sheet as well.
     if (m_core.sheets.version() == 0 && version > 1) {
         const auto preceding = co_await m_table.read(sheet::version_key(version - 1));
-        const auto* old = std::get_if<std::optional<platform::table_row>>(&preceding);
+        const auto* old = std::get_if<std::optional<cloud::table_row>>(&preceding);
         if (old != nullptr && *old)
             m_core.sheets.offer(version - 1, (*old)->value);
     }
     const auto content = co_await m_table.read(sheet::version_key(version));
-    const auto* text = std::get_if<std::optional<platform::table_row>>(&content);
+    const auto* text = std::get_if<std::optional<cloud::table_row>>(&content);
     if (text == nullptr || !*text)
         co_return false;
     const auto result = m_core.sheets.offer(version, (*text)->value);
@@ -154,11 +154,11 @@
     m_sheet_timer.cancel();
 }
 
-void platform_sync::update_directory(const std::vector<platform::instance_record>& records)
+void platform_sync::update_directory(const std::vector<cloud::instance_record>& records)
 {
     std::vector<membership::listed_endpoint> listed;
     for (const auto& record : records) {
-        const bool is_endpoint = !std::holds_alternative<platform::serves_entry>(record.serves);
+        const bool is_endpoint = !std::holds_alternative<cloud::serves_entry>(record.serves);
         if (!is_endpoint || record.domain != m_core.settings.failure_domain)
             continue;
         const endpoint_id id(record.id.value());
@@ -180,7 +180,7 @@
         info.state = routing::endpoint_state::leaving;
 }
 
-void platform_sync::apply_instances(const std::vector<platform::instance_record>& records)
+void platform_sync::apply_instances(const std::vector<cloud::instance_record>& records)
 {
     update_directory(records);
     carry_out(m_versions.expire(now()));
--- a/Services/siskinwharfd/src/platform_sync.h
+++ b/Services/siskinwharfd/src/platform_sync.h
@@ -15,7 +15,7 @@
 #include "instance_feed.h"
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/membership/endpoint_directory.h"
-#include "siskinwharf/platform/http_platform.h"
+#include "siskinwharf/cloud/http_platform.h"
 #include "siskinwharf/sheet/poll_schedule.h"
 
 namespace siskinwharf::entry {
@@ -31,7 +31,7 @@
         /// Endpoints are no longer drained for a change of their version.
         std::function<void(std::set<endpoint_id>)> on_restored;
         /// The instance list changed, or is handed out again.
-        std::function<void(const std::vector<platform::instance_record>&)> on_instances;
+        std::function<void(const std::vector<cloud::instance_record>&)> on_instances;
         /// This process learned something about an endpoint that its peers should know at once.
         std::function<void(const std::vector<peer::endpoint_notice>&)> announce;
         /// A peer's notice was news, to be passed on.
@@ -62,9 +62,9 @@
 private:
     boost::asio::awaitable<void> poll_sheet();
     boost::asio::awaitable<bool> fetch_sheet();
-    void apply_instances(const std::vector<platform::instance_record>& records);
+    void apply_instances(const std::vector<cloud::instance_record>& records);
     void note_platform(bool answers);
-    void update_directory(const std::vector<platform::instance_record>& records);
+    void update_directory(const std::vector<cloud::instance_record>& records);
     void carry_out(const membership::endpoint_changes& changes);
     void carry_out(const endpoint_versions::changes& changes);
     /// Sets the state of an endpoint from the directory, which knows more than the lagging list.
@@ -73,7 +73,7 @@
     boost::asio::io_context& m_context;
     entry_core& m_core;
     observer m_observer;
-    platform::http_table_store m_table;
+    cloud::http_table_store m_table;
     instance_feed m_instances;
     std::mt19937_64 m_random{std::random_device{}()};
     bool m_platform_answers = true;
@@ -82,7 +82,7 @@
     membership::endpoint_directory m_directory;
     endpoint_versions m_versions;
     /// Endpoints of the own failure domain in the instance list.
-    std::map<endpoint_id, platform::instance_record> m_own_records;
+    std::map<endpoint_id, cloud::instance_record> m_own_records;
     /// Endpoints in the routing table.
     std::set<endpoint_id> m_routed;
     /// Notice that the platform gave to leaving endpoints.
--- a/Services/siskinwharfd/src/service_runner.cpp
+++ b/Services/siskinwharfd/src/service_runner.cpp
@@ -143,7 +143,7 @@
         // Once the caller has its answer, nobody waits for the final row.
         const auto limit = m_answered ? monotonic_time::max() : m_call.deadline;
         const auto result = co_await m_committer.commit(std::move(write->write), limit);
-        if (std::holds_alternative<platform::table_uncertain>(result))
+        if (std::holds_alternative<cloud::table_uncertain>(result))
             log_event(event::claim_uncertain, {{"account", m_call.account.value()}});
         co_return claim.on_commit(result);
     }
--- a/Services/siskinwharfd/src/summary_exchange.cpp
+++ b/Services/siskinwharfd/src/summary_exchange.cpp
@@ -33,11 +33,11 @@
     asio::co_spawn(m_context, run(), asio::detached);
 }
 
-void summary_exchange::update(const std::vector<platform::instance_record>& records)
+void summary_exchange::update(const std::vector<cloud::instance_record>& records)
 {
     m_remotes.clear();
     for (const auto& record : records) {
-        const bool is_remote = std::holds_alternative<platform::serves_entry>(record.serves) &&
+        const bool is_remote = std::holds_alternative<cloud::serves_entry>(record.serves) &&
                                record.domain != m_core.settings.failure_domain && record.peer_port != 0 &&
                                !record.leaving;
         if (is_remote)
--- a/Services/siskinwharfd/src/summary_exchange.h
+++ b/Services/siskinwharfd/src/summary_exchange.h
@@ -10,7 +10,7 @@
 
 #include "entry_core.h"
 #include "siskinwharf/membership/domain_summary_table.h"
-#include "siskinwharf/platform/instance_list.h"
+#include "siskinwharf/cloud/instance_list.h"
 
 namespace siskinwharf::entry {
 
@@ -26,7 +26,7 @@
 
     void start();
     /// Takes the entry processes of the other failure domains from the instance list.
-    void update(const std::vector<platform::instance_record>& records);
+    void update(const std::vector<cloud::instance_record>& records);
     /// Answers a process of another failure domain.
     [[nodiscard]] peer::summary_reply reply(const peer::summary_request& request);
     /// What is known of the other failure domains now.
--- a/Services/siskinwharfd/tests/claim_forwarding_test.cpp
+++ b/Services/siskinwharfd/tests/claim_forwarding_test.cpp
@@ -28,24 +28,24 @@
 const std::string signing_key(32, 'k');
 
 /// A table in memory. A commit waits while `held` is set, and its answer is lost while `answers_lost` is set.
-class fake_table final : public platform::table_store {
+class fake_table final : public cloud::table_store {
 public:
     explicit fake_table(asio::io_context& context) : m_released(context, monotonic_time::max()) {}
 
-    asio::awaitable<platform::commit_result> commit(platform::table_transaction transaction) override
+    asio::awaitable<cloud::commit_result> commit(cloud::table_transaction transaction) override
     {
         group_sizes.push_back(transaction.writes.size());
         while (held)
             co_await m_released.async_wait(asio::as_tuple(asio::use_awaitable));
         if (unavailable)
-            co_return platform::table_unavailable{};
+            co_return cloud::table_unavailable{};
         co_return apply(transaction);
     }
 
-    asio::awaitable<platform::read_result> read(std::string key) override
+    asio::awaitable<cloud::read_result> read(std::string key) override
     {
         const auto found = rows.find(key);
-        co_return found == rows.end() ? std::optional<platform::table_row>{} : found->second;
+        co_return found == rows.end() ? std::optional<cloud::table_row>{} : found->second;
     }
 
     void release()
@@ -54,19 +54,19 @@
         m_released.cancel();
     }
 
-    platform::commit_result apply(const platform::table_transaction& transaction)
+    cloud::commit_result apply(const cloud::table_transaction& transaction)
     {
-        platform::table_conflict conflict;
+        cloud::table_conflict conflict;
         for (std::size_t index = 0; index < transaction.writes.size(); ++index) {
             const auto& write = transaction.writes[index];
             const auto found = rows.find(write.key);
-            const auto* version = std::get_if<platform::require_version>(&write.condition);
+            const auto* version = std::get_if<cloud::require_version>(&write.condition);
             const bool holds = version == nullptr
                                    ? found == rows.end()
                                    : found != rows.end() && found->second.version == version->version;
             if (!holds)
                 conflict.rows.push_back(
-                    {index, found == rows.end() ? std::optional<platform::table_row>{} : found->second});
+                    {index, found == rows.end() ? std::optional<cloud::table_row>{} : found->second});
         }
         if (!conflict.rows.empty())
             return conflict;
@@ -74,10 +74,10 @@
             auto& row = rows[write.key];
             row = {write.key, *write.value, row.version + 1};
         }
-        return platform::table_committed{};
+        return cloud::table_committed{};
     }
 
-    std::map<std::string, platform::table_row> rows;
+    std::map<std::string, cloud::table_row> rows;
     std::vector<std::size_t> group_sizes;
     bool held = false;
     bool unavailable = false;
@@ -88,7 +88,7 @@
 
 /// One entry process: its committer, its service for peers and its forwarder.
 struct member {
-    member(asio::io_context& context, platform::table_store& table, forwarding_ports ports,
+    member(asio::io_context& context, cloud::table_store& table, forwarding_ports ports,
            claim_service_limits limits = {}, forwarding_limits forwarding = {})
         : committer(context, table),
           service(context, committer, limits),
@@ -196,9 +196,9 @@
         return std::move(*result);
     }
 
-    platform::commit_result commit(const std::string& key, monotonic_time limit = no_limit)
+    cloud::commit_result commit(const std::string& key, monotonic_time limit = no_limit)
     {
-        return run(sender->committer.commit({"claim/" + key, "v", platform::require_absent{}}, limit));
+        return run(sender->committer.commit({"claim/" + key, "v", cloud::require_absent{}}, limit));
     }
 
     asio::io_context context{1};
@@ -244,18 +244,18 @@
     // calls that fail although they could be committed here.
     struct fault_case {
         peer_fault fault;
-        platform::commit_result expected;
+        cloud::commit_result expected;
         bool row_written;
     };
     const std::vector<fault_case> cases{
-        {peer_fault::none, platform::table_committed{}, true},
-        {peer_fault::unreachable, platform::table_committed{}, true},
-        {peer_fault::too_many, platform::table_committed{}, true},
-        {peer_fault::refused, platform::table_committed{}, true},
-        {peer_fault::lost_before_commit, platform::table_uncertain{}, false},
-        {peer_fault::lost_after_commit, platform::table_uncertain{}, true},
-        {peer_fault::late, platform::table_uncertain{}, false},
-        {peer_fault::wrong_answer, platform::table_uncertain{}, true},
+        {peer_fault::none, cloud::table_committed{}, true},
+        {peer_fault::unreachable, cloud::table_committed{}, true},
+        {peer_fault::too_many, cloud::table_committed{}, true},
+        {peer_fault::refused, cloud::table_committed{}, true},
+        {peer_fault::lost_before_commit, cloud::table_uncertain{}, false},
+        {peer_fault::lost_after_commit, cloud::table_uncertain{}, true},
+        {peer_fault::late, cloud::table_uncertain{}, false},
+        {peer_fault::wrong_answer, cloud::table_uncertain{}, true},
     };
     for (const auto& [fault, expected, row_written] : cases) {
         INFO(static_cast<int>(fault));
@@ -264,7 +264,7 @@
         CHECK(test.commit("a") == expected);
         CHECK(test.table.rows.contains("claim/a") == row_written);
         // The next write does not wait for a member that has failed.
-        CHECK(test.commit("b") == platform::commit_result{platform::table_committed{}});
+        CHECK(test.commit("b") == cloud::commit_result{cloud::table_committed{}});
         const bool asked_again = fault == peer_fault::none || fault == peer_fault::too_many;
         CHECK(test.requests == (asked_again ? 2 : 1));
     }
@@ -311,10 +311,10 @@
     std::size_t ended = 0;
     for (int index = 0; index < 20; ++index) {
         const auto& from = index % 2 == 0 ? test.sender : test.committing;
-        platform::table_write write{"claim/" + std::to_string(index), "v", platform::require_absent{}};
+        cloud::table_write write{"claim/" + std::to_string(index), "v", cloud::require_absent{}};
         asio::co_spawn(test.context, from->committer.commit(std::move(write), no_limit),
-                       [&](const std::exception_ptr&, const platform::commit_result& result) {
-                           ended += std::holds_alternative<platform::table_committed>(result) ? 1 : 0;
+                       [&](const std::exception_ptr&, const cloud::commit_result& result) {
+                           ended += std::holds_alternative<cloud::table_committed>(result) ? 1 : 0;
                        });
     }
     while (ended < 20)
@@ -326,7 +326,7 @@
 {
     // Guards against safety that depends on one committer: two members commit one row, and one of them wins.
     domain test;
-    const platform::table_write write{"claim/a", "v", platform::require_absent{}};
+    const cloud::table_write write{"claim/a", "v", cloud::require_absent{}};
     peer::claim_commit_request request{{{"claim/a", "w", 0}}, milliseconds(1000)};
     std::vector<peer::claim_write_state> states;
     for (const auto& each : {test.sender.get(), test.committing.get()}) {
@@ -340,7 +340,7 @@
     CHECK(std::ranges::count(states, peer::claim_write_state::committed) == 1);
     CHECK(std::ranges::count(states, peer::claim_write_state::conflict) == 1);
     // A member whose requests reach a process that is not the committer for others gets its result as well.
-    CHECK(std::holds_alternative<platform::table_conflict>(test.commit("a")));
+    CHECK(std::holds_alternative<cloud::table_conflict>(test.commit("a")));
     CHECK(test.requests == 1);
 }
 
@@ -348,14 +348,14 @@
 {
     // Guards against calls that wait past their limit, and against a withdrawn write that is sent later.
     domain test;
-    CHECK(test.commit("a", now()) == platform::commit_result{platform::table_uncertain{}});
+    CHECK(test.commit("a", now()) == cloud::commit_result{cloud::table_uncertain{}});
     test.committer_known = false;
-    CHECK(test.commit("b", now()) == platform::commit_result{platform::table_unavailable{}});
+    CHECK(test.commit("b", now()) == cloud::commit_result{cloud::table_unavailable{}});
     test.table.held = true;
     CHECK(test.commit("c", now() + milliseconds(100)) ==
-          platform::commit_result{platform::table_uncertain{}});
+          cloud::commit_result{cloud::table_uncertain{}});
     test.table.release();
-    CHECK(test.commit("d") == platform::commit_result{platform::table_committed{}});
+    CHECK(test.commit("d") == cloud::commit_result{cloud::table_committed{}});
     CHECK_FALSE(test.table.rows.contains("claim/b"));
     CHECK(test.table.rows.contains("claim/c"));
 }
@@ -365,7 +365,7 @@
     // Guards against reads and void rows for writes that were never sent.
     domain test;
     test.table.unavailable = true;
-    CHECK(test.commit("a") == platform::commit_result{platform::table_unavailable{}});
+    CHECK(test.commit("a") == cloud::commit_result{cloud::table_unavailable{}});
     CHECK(test.requests == 1);
 }
 
@@ -376,15 +376,15 @@
     forwarding_limits forwarding;
     domain patient(forwarding);
     patient.fault = peer_fault::no_table;
-    CHECK(patient.commit("a") == platform::commit_result{platform::table_unavailable{}});
+    CHECK(patient.commit("a") == cloud::commit_result{cloud::table_unavailable{}});
     patient.fault = peer_fault::none;
-    CHECK(patient.commit("a") == platform::commit_result{platform::table_committed{}});
+    CHECK(patient.commit("a") == cloud::commit_result{cloud::table_committed{}});
     CHECK(patient.requests == 2);
     forwarding.longest_failure = milliseconds(0);
     domain impatient(forwarding);
     impatient.fault = peer_fault::no_table;
-    CHECK(impatient.commit("a") == platform::commit_result{platform::table_committed{}});
-    CHECK(impatient.commit("b") == platform::commit_result{platform::table_committed{}});
+    CHECK(impatient.commit("a") == cloud::commit_result{cloud::table_committed{}});
+    CHECK(impatient.commit("b") == cloud::commit_result{cloud::table_committed{}});
     CHECK(impatient.requests == 1);
 }
 
@@ -451,12 +451,12 @@
             asked = std::move(contact);
             co_return each.answer;
         });
-        platform::instance_record record;
+        cloud::instance_record record;
         record.id = instance_id("far");
         record.domain = failure_domain_id("ocho-a");
         record.address = "127.0.0.9";
         record.peer_port = 9;
-        record.serves = platform::serves_entry{};
+        record.serves = cloud::serves_entry{};
         CHECK(test.run(holders.ask(instance_id("far"), {}, identity, 5)) ==
               claims::holder_reply{claims::holder_unknown{}});
         CHECK_FALSE(asked);
--- a/Services/siskinwharfd/tests/control_loop_fakes.cpp
+++ b/Services/siskinwharfd/tests/control_loop_fakes.cpp
@@ -35,12 +35,12 @@
     return {model_id("m"), version, {}, "both"};
 }
 
-platform::instance_record engine_record(const std::string& id)
+cloud::instance_record engine_record(const std::string& id)
 {
-    platform::instance_record record;
+    cloud::instance_record record;
     record.id = instance_id(id);
     record.domain = failure_domain_id("d1");
-    record.serves = platform::serves_model{model_id("m"), "v1"};
+    record.serves = cloud::serves_model{model_id("m"), "v1"};
     record.capacity = 8;
     record.port = id == "m-1" ? 1 : 2;
     return record;
@@ -64,7 +64,7 @@
                                  .LR_RETURN(answer(start_answer)));
     m_expectations.push_back(NAMED_ALLOW_CALL(*cloud, stop(trompeloeil::_))
                                  .LR_SIDE_EFFECT(stopped.push_back(_1))
-                                 .LR_RETURN(answer(platform::stop_result(platform::cloud_stopped{}))));
+                                 .LR_RETURN(answer(cloud::stop_result(cloud::cloud_stopped{}))));
     m_expectations.push_back(NAMED_ALLOW_CALL(*cloud, notices(trompeloeil::_))
                                  .LR_SIDE_EFFECT(notices_after.push_back(_1))
                                  .LR_RETURN(answer(notices)));
--- a/Services/siskinwharfd/tests/control_loop_fakes.h
+++ b/Services/siskinwharfd/tests/control_loop_fakes.h
@@ -24,42 +24,42 @@
 }
 
 /// A table with the faults of the table service.
-class fake_table final : public platform::table_store {
+class fake_table final : public cloud::table_store {
 public:
     enum class fault { none, down, answer_lost, request_lost };
 
-    boost::asio::awaitable<platform::commit_result> commit(platform::table_transaction transaction) override
+    boost::asio::awaitable<cloud::commit_result> commit(cloud::table_transaction transaction) override
     {
         ++commits;
         const auto current = std::exchange(next, next == fault::down ? fault::down : fault::none);
         if (current == fault::down)
-            co_return platform::table_unavailable{};
+            co_return cloud::table_unavailable{};
         if (current == fault::request_lost)
-            co_return platform::table_uncertain{};
+            co_return cloud::table_uncertain{};
         const auto& write = transaction.writes.front();
-        const auto* version = std::get_if<platform::require_version>(&write.condition);
+        const auto* version = std::get_if<cloud::require_version>(&write.condition);
         const bool holds = version == nullptr ? !row : row && row->version == version->version;
         if (holds)
             put(*write.value);
         if (current == fault::answer_lost)
-            co_return platform::table_uncertain{};
+            co_return cloud::table_uncertain{};
         if (holds)
-            co_return platform::table_committed{};
-        platform::table_conflict conflict;
+            co_return cloud::table_committed{};
+        cloud::table_conflict conflict;
         conflict.rows.push_back({0, row});
         co_return conflict;
     }
-    boost::asio::awaitable<platform::read_result> read(std::string key) override
+    boost::asio::awaitable<cloud::read_result> read(std::string key) override
     {
         CHECK(key == "lease/d1");
         if (next == fault::down)
-            co_return platform::table_unavailable{};
+            co_return cloud::table_unavailable{};
         co_return row;
     }
     void put(const std::string& value) { row = {"lease/d1", value, row ? row->version + 1 : 1}; }
 
     std::size_t commits = 0;
-    std::optional<platform::table_row> row;
+    std::optional<cloud::table_row> row;
     fault next = fault::none;
 };
 
@@ -72,13 +72,13 @@
                override);
 };
 
-class mock_cloud final : public platform::cloud_api {
+class mock_cloud final : public cloud::cloud_api {
 public:
-    MAKE_MOCK0(offers, boost::asio::awaitable<platform::offers_result>(), override);
-    MAKE_MOCK0(instances, boost::asio::awaitable<platform::instances_result>(), override);
-    MAKE_MOCK1(start, boost::asio::awaitable<platform::start_result>(platform::start_request), override);
-    MAKE_MOCK1(stop, boost::asio::awaitable<platform::stop_result>(instance_id), override);
-    MAKE_MOCK1(notices, boost::asio::awaitable<platform::notices_result>(std::uint64_t), override);
+    MAKE_MOCK0(offers, boost::asio::awaitable<cloud::offers_result>(), override);
+    MAKE_MOCK0(instances, boost::asio::awaitable<cloud::instances_result>(), override);
+    MAKE_MOCK1(start, boost::asio::awaitable<cloud::start_result>(cloud::start_request), override);
+    MAKE_MOCK1(stop, boost::asio::awaitable<cloud::stop_result>(instance_id), override);
+    MAKE_MOCK1(notices, boost::asio::awaitable<cloud::notices_result>(std::uint64_t), override);
 };
 
 /// A control loop of failure domain `d1` in virtual time, with the engine `m-1` whose configuration is `has`
@@ -109,12 +109,12 @@
     std::vector<bool> sent_after_pause;
     /// What the engine answers; it takes an order unless it refuses it.
     control::order_result order_answer = control::order_accepted{};
-    platform::notices_result notices = platform::notice_page{};
+    cloud::notices_result notices = cloud::notice_page{};
     std::vector<std::uint64_t> notices_after;
-    platform::offers_result offers = std::vector<platform::cloud_offer>{};
-    platform::instances_result instances = std::vector<platform::cloud_instance>{};
-    platform::start_result start_answer = platform::cloud_unavailable{};
-    std::vector<platform::start_request> started;
+    cloud::offers_result offers = std::vector<cloud::cloud_offer>{};
+    cloud::instances_result instances = std::vector<cloud::cloud_instance>{};
+    cloud::start_result start_answer = cloud::cloud_unavailable{};
+    std::vector<cloud::start_request> started;
     std::vector<instance_id> stopped;
     std::map<endpoint_id, monotonic_time> leaving;
     std::vector<peer::rollout_state> rollout_states;
@@ -132,6 +132,6 @@
 };
 
 [[nodiscard]] control::endpoint_configuration configuration(const std::string& version);
-[[nodiscard]] platform::instance_record engine_record(const std::string& id = "m-1");
+[[nodiscard]] cloud::instance_record engine_record(const std::string& id = "m-1");
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/tests/control_loop_test.cpp
+++ b/Services/siskinwharfd/tests/control_loop_test.cpp
@@ -93,8 +93,8 @@
 TEST_CASE("no orders are given while the table is unavailable, and they go on afterwards")
 {
     loop_fixture fixture("ignored");
-    fixture.offers = std::vector<platform::cloud_offer>{
-        {"small", failure_domain_id("d1"), platform::purchase_kind::on_demand, 1, 4}};
+    fixture.offers = std::vector<cloud::cloud_offer>{
+        {"small", failure_domain_id("d1"), cloud::purchase_kind::on_demand, 1, 4}};
     fixture.run_for(seconds(5));
     REQUIRE(fixture.sent.size() == 1);
     fixture.table.next = fake_table::fault::down;
@@ -138,7 +138,7 @@
         if (is_table_down)
             fixture.table.next = fake_table::fault::down;
         fixture.run_for(seconds(6));
-        platform::notice_page page;
+        cloud::notice_page page;
         page.notices.push_back({7, instance_id("m-1"), leaves_in});
         page.last = 7;
         fixture.notices = page;
@@ -188,9 +188,9 @@
     // Guards against two instances for one missing replica.
     loop_fixture fixture;
     fixture.loop->update({});
-    fixture.offers = std::vector<platform::cloud_offer>{
-        {"small", failure_domain_id("d1"), platform::purchase_kind::on_demand, 1, 16}};
-    fixture.start_answer = platform::cloud_uncertain{};
+    fixture.offers = std::vector<cloud::cloud_offer>{
+        {"small", failure_domain_id("d1"), cloud::purchase_kind::on_demand, 1, 16}};
+    fixture.start_answer = cloud::cloud_uncertain{};
     fixture.run_for(seconds(12));
     REQUIRE(fixture.started.size() >= 2);
     for (const auto& request : fixture.started)
@@ -201,9 +201,9 @@
 {
     loop_fixture fixture;
     fixture.loop->update({});
-    fixture.offers = std::vector<platform::cloud_offer>{
-        {"small", failure_domain_id("d1"), platform::purchase_kind::on_demand, 1, 16}};
-    fixture.start_answer = platform::cloud_refused{platform::cloud_refusal::no_capacity};
+    fixture.offers = std::vector<cloud::cloud_offer>{
+        {"small", failure_domain_id("d1"), cloud::purchase_kind::on_demand, 1, 16}};
+    fixture.start_answer = cloud::cloud_refused{cloud::cloud_refusal::no_capacity};
     fixture.run_for(seconds(50));
     CHECK(fixture.started.size() == 1);
     fixture.run_for(seconds(20));
--- a/Services/siskinwharfd/tests/model_assignment_test.cpp
+++ b/Services/siskinwharfd/tests/model_assignment_test.cpp
@@ -19,12 +19,12 @@
     return result;
 }
 
-platform::instance_record engine(const std::string& id, const std::string& model, const std::string& version)
+cloud::instance_record engine(const std::string& id, const std::string& model, const std::string& version)
 {
-    platform::instance_record record;
+    cloud::instance_record record;
     record.id = instance_id(id);
     record.domain = domain;
-    record.serves = platform::serves_model{model_id(model), version};
+    record.serves = cloud::serves_model{model_id(model), version};
     return record;
 }
 
@@ -41,10 +41,10 @@
     struct row {
         const char* name = "";
         std::vector<sheet::model_entry> models;
-        std::vector<platform::instance_record> records;
+        std::vector<cloud::instance_record> records;
         std::map<std::string, std::string> expected; ///< Endpoint to `model:version`.
     };
-    const std::vector<platform::instance_record> two{engine("e1", "m", "v1"), engine("e2", "m", "v1")};
+    const std::vector<cloud::instance_record> two{engine("e1", "m", "v1"), engine("e2", "m", "v1")};
     auto leaving = two;
     leaving.front().leaving = true;
     auto elsewhere = two;
