Dispatch: Divide what is left of a quota instead of its rate

Cause: shares of a token bucket by recent demand left each of 9 processes room for two or three requests of 12,000 tokens; accounts at half of their limit got 429. Ruled out: reports that come late (the shares were from the same second). Now each process knows what all have admitted in the window and spends its part of the rest.

--- a/Libraries/dispatch/include/siskinwharf/dispatch/account_quota.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/account_quota.h
@@ -1,52 +1,80 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <vector>
 
 #include "siskinwharf/base/time.h"
 
 namespace siskinwharf::dispatch {
 
-/// What a peer last said it was asked for by an account.
-struct peer_demand {
-    double per_second = 0;
+/// Limit of an account over all processes: `per_second` x `window` + `burst` in any window.
+struct quota_limit {
+    double per_second = 0; ///< 0: no limit.
+    double burst = 0;
+    milliseconds window{8'000};
+
+    auto operator<=>(const quota_limit&) const = default;
+};
+
+/// What one process has admitted for an account.
+struct quota_use {
+    double in_window = 0;  ///< In the last window.
+    double per_second = 0; ///< In the last second.
+
+    auto operator<=>(const quota_use&) const = default;
+};
+
+/// What a peer last said about its use of a quota.
+struct peer_use {
+    quota_use use;
     bool is_silent = false; ///< The peer has not been heard for a while; it may still serve.
 };
 
-/// This process's share of an account's quota, in proportion to what each process is asked for. A silent peer
-/// keeps at least the share of an average one, so that the processes on both sides of a partition together stay
-/// within the quota.
-[[nodiscard]] double quota_share(double own_per_second, const std::vector<peer_demand>& peers);
+/// What the other processes use of a quota. A silent peer counts as an average one at least, so that the processes
+/// on both sides of a partition together stay within the limit.
+[[nodiscard]] quota_use use_of_others(const quota_use& own, const std::vector<peer_use>& peers,
+                                      const quota_limit& limit);
 
-/// Token bucket for this process's share of one account's quota, and a moving average of what it is asked for.
+/// Admits requests of one account so that all processes together stay within the limit. What is left of the limit, by
+/// this process's count and what the others say, is divided among the processes, and each spends its part no faster
+/// than it hears what the others spend.
 class account_quota {
 public:
-    /// `per_second` of 0 means no limit. Starts empty: a restarted process must not spend the burst again.
-    account_quota(double per_second, double burst, monotonic_time now);
+    account_quota(const quota_limit& limit, monotonic_time now)
+        : m_limit(limit), m_started(now), m_refilled_at(now)
+    {
+    }
 
-    void set_limit(double per_second, double burst);
-    void set_share(double share, monotonic_time now);
+    void set_limit(const quota_limit& limit) { m_limit = limit; }
+    /// `processes` is the number of all processes, this one included.
+    void set_others(const quota_use& use, std::size_t processes, monotonic_time now);
 
-    /// Takes `amount` and returns true, or returns false if the share is used up. A request larger than what is
-    /// left is admitted and paid for by later ones.
+    /// Counts `amount` and returns true, or returns false if the limit is reached.
     [[nodiscard]] bool try_take(double amount, monotonic_time now);
     /// Gives back what a request that did not run has taken.
-    void give_back(double amount);
+    void give_back(double amount, monotonic_time now);
 
-    /// Amount asked for in a second, admitted or not.
-    [[nodiscard]] double demand(monotonic_time now) const;
-    [[nodiscard]] double available() const { return m_level; }
+    [[nodiscard]] quota_use use(monotonic_time now) const;
+    [[nodiscard]] const quota_limit& limit() const { return m_limit; }
 
 private:
+    struct slice {
+        monotonic_time start;
+        double amount = 0;
+    };
+    slice& current(monotonic_time now);
+    [[nodiscard]] double admitted_since(monotonic_time first) const;
+    [[nodiscard]] bool may_take(monotonic_time now);
     void refill(monotonic_time now);
 
-    double m_per_second;
-    double m_burst;
-    double m_share = 0;
-    double m_level = 0;
+    quota_limit m_limit;
+    monotonic_time m_started;
+    std::size_t m_processes = 1;
+    double m_part = 0;  ///< This process's part of what is left of the limit.
+    double m_level = 0; ///< Of that part, what may be taken now.
     monotonic_time m_refilled_at;
-    mutable double m_demand = 0;
-    mutable monotonic_time m_demand_at;
+    std::deque<slice> m_slices;
 };
 
 } // namespace siskinwharf::dispatch
--- a/Libraries/dispatch/src/account_quota.cpp
+++ b/Libraries/dispatch/src/account_quota.cpp
@@ -1,18 +1,15 @@
 #include "siskinwharf/dispatch/account_quota.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace siskinwharf::dispatch {
 
 namespace {
 
-/// Over which the demand is averaged.
-constexpr double demand_seconds = 2;
-/// Demand that counts for each process, so that one without requests can admit its first ones.
-constexpr double least_demand = 1;
-/// Share of an average process that each one has whatever its demand is.
-constexpr double floor_share = 0.25;
+constexpr milliseconds slice_length{250};
+constexpr milliseconds recent_time{1'000};
+/// In which all processes have heard what each has admitted, with the delay between regions.
+constexpr double exchange_time_s = 1;
 
 double seconds_between(monotonic_time from, monotonic_time until)
 {
@@ -21,71 +18,98 @@
 
 } // namespace
 
-double quota_share(double own_per_second, const std::vector<peer_demand>& peers)
+quota_use use_of_others(const quota_use& own, const std::vector<peer_use>& peers, const quota_limit& limit)
 {
-    double sum_heard = own_per_second;
-    double heard = 1;
+    quota_use heard = own;
+    double processes = 1;
     for (const auto& peer : peers) {
-        if (!peer.is_silent) {
-            sum_heard += peer.per_second;
-            heard += 1;
-        }
+        if (peer.is_silent)
+            continue;
+        heard.in_window += peer.use.in_window;
+        heard.per_second += peer.use.per_second;
+        processes += 1;
     }
-    const auto average = sum_heard / heard;
-    const auto floor = std::max(least_demand, average * floor_share);
-    const auto own = std::max(own_per_second, floor);
-    auto total = own;
-    for (const auto& peer : peers)
-        total += std::max({peer.per_second, floor, peer.is_silent ? average : 0.0});
-    return own / total;
+    const quota_use average{heard.in_window / processes, heard.per_second / processes};
+    quota_use result{heard.in_window - own.in_window, heard.per_second - own.per_second};
+    const auto window_s = std::chrono::duration<double>(limit.window).count();
+    for (const auto& peer : peers) {
+        if (!peer.is_silent)
+            continue;
+        const auto per_second = std::max(peer.use.per_second, average.per_second);
+        result.in_window += std::max({peer.use.in_window, average.in_window, per_second * window_s});
+    }
+    return result;
 }
 
-account_quota::account_quota(double per_second, double burst, monotonic_time now)
-    : m_per_second(per_second), m_burst(burst), m_refilled_at(now), m_demand_at(now)
+void account_quota::set_others(const quota_use& use, std::size_t processes, monotonic_time now)
 {
+    refill(now);
+    m_processes = std::max<std::size_t>(processes, 1);
+    const auto own = this->use(now);
+    const auto window_s = std::chrono::duration<double>(m_limit.window).count();
+    const auto left = m_limit.per_second * window_s + m_limit.burst - own.in_window - use.in_window;
+    // Half is divided equally, so that a process without recent requests can admit some.
+    const auto equal = 1.0 / static_cast<double>(m_processes);
+    const auto total = own.per_second + use.per_second;
+    const auto by_use = total > 0 ? std::max(own.per_second, 0.0) / total : equal;
+    m_part = std::max(0.0, left) * (equal + by_use) / 2;
 }
 
-void account_quota::set_limit(double per_second, double burst)
+void account_quota::refill(monotonic_time now)
 {
-    m_per_second = per_second;
-    m_burst = burst;
+    m_level = std::min(m_part, m_level + m_part * seconds_between(m_refilled_at, now) / exchange_time_s);
+    m_refilled_at = now;
 }
 
-void account_quota::set_share(double share, monotonic_time now)
+account_quota::slice& account_quota::current(monotonic_time now)
 {
-    refill(now);
-    m_share = share;
+    while (!m_slices.empty() && m_slices.front().start + m_limit.window + slice_length < now)
+        m_slices.pop_front();
+    if (m_slices.empty() || m_slices.back().start + slice_length <= now)
+        m_slices.push_back({now, 0});
+    return m_slices.back();
 }
 
-void account_quota::refill(monotonic_time now)
+double account_quota::admitted_since(monotonic_time first) const
 {
-    const auto gained = m_per_second * m_share * seconds_between(m_refilled_at, now);
-    m_refilled_at = now;
-    m_level = std::min(m_level + gained, m_burst * m_share);
+    double sum = 0;
+    for (const auto& entry : m_slices) {
+        if (entry.start >= first)
+            sum += entry.amount;
+    }
+    return sum;
 }
 
-bool account_quota::try_take(double amount, monotonic_time now)
+quota_use account_quota::use(monotonic_time now) const
 {
-    m_demand = demand(now) + amount / demand_seconds;
-    m_demand_at = now;
-    if (m_per_second <= 0)
-        return true;
+    const auto recent_s = std::chrono::duration<double>(recent_time).count();
+    return {admitted_since(now - m_limit.window), admitted_since(now - recent_time) / recent_s};
+}
+
+bool account_quota::may_take(monotonic_time now)
+{
+    const auto window_s = std::chrono::duration<double>(m_limit.window).count();
     refill(now);
-    if (m_level <= 0)
-        return false;
-    m_level -= amount;
-    return true;
+    // A process that has just started does not know what it admitted before: it begins with an equal share of the
+    // rate and without a burst.
+    if (const auto age = seconds_between(m_started, now); age < window_s)
+        return admitted_since(m_started) <= m_limit.per_second * age / static_cast<double>(m_processes);
+    return m_level > 0;
 }
 
-void account_quota::give_back(double amount)
+bool account_quota::try_take(double amount, monotonic_time now)
 {
-    if (m_per_second > 0)
-        m_level = std::min(m_level + amount, m_burst * m_share);
+    if (m_limit.per_second > 0 && !may_take(now))
+        return false;
+    current(now).amount += amount;
+    m_level -= amount;
+    return true;
 }
 
-double account_quota::demand(monotonic_time now) const
+void account_quota::give_back(double amount, monotonic_time now)
 {
-    return m_demand * std::exp(-seconds_between(m_demand_at, now) / demand_seconds);
+    current(now).amount -= amount;
+    m_level += amount;
 }
 
 } // namespace siskinwharf::dispatch
--- a/Libraries/exchange/exchange.thrift
+++ b/Libraries/exchange/exchange.thrift
@@ -8,9 +8,10 @@
   3: i64 waiting_tokens
 }
 
-struct account_demand {
+struct account_use {
   1: string account
-  2: i64 per_second
+  2: i64 in_window
+  3: i64 per_second
 }
 
 struct window_usage {
@@ -43,7 +44,7 @@
   9: i64 lease_number
   10: string failure_domain
   11: list<endpoint_load> loads
-  12: list<account_demand> demands
+  12: list<account_use> accounts
   13: list<window_usage> usage
   14: list<service_demand> services
   15: list<crash_record> crashes
--- a/Libraries/exchange/include/siskinwharf/exchange/process_state.h
+++ b/Libraries/exchange/include/siskinwharf/exchange/process_state.h
@@ -13,12 +13,13 @@
 
 namespace siskinwharf::exchange {
 
-/// What a process is asked for by one account.
-struct account_demand {
+/// What a process has admitted for one account, in requests or tokens as the account's quota counts.
+struct account_use {
     account_id account;
-    std::uint64_t per_second = 0; ///< Requests or tokens, as the account's quota counts.
+    std::uint64_t in_window = 0;  ///< In the window of the quota.
+    std::uint64_t per_second = 0; ///< In the last second.
 
-    auto operator<=>(const account_demand&) const = default;
+    auto operator<=>(const account_use&) const = default;
 };
 
 /// Work of one service at one process.
@@ -44,7 +45,7 @@
     std::uint64_t lease_number = 0; ///< Fencing number while the process holds the duties, otherwise 0.
     failure_domain_id domain;
     std::vector<dispatch::endpoint_load> loads;
-    std::vector<account_demand> demands;
+    std::vector<account_use> accounts;
     std::vector<usage::usage_entry> usage; ///< Process and start are those of the message.
     std::vector<service_demand> services;
     std::vector<admission::quarantine_record> crashes;
--- a/Libraries/exchange/src/process_state.cpp
+++ b/Libraries/exchange/src/process_state.cpp
@@ -58,10 +58,11 @@
         entry.running = static_cast<std::int32_t>(load.running);
         entry.waiting_tokens = to_signed(load.waiting_tokens);
     }
-    for (const auto& demand : value.demands) {
-        auto& entry = result.demands.emplace_back();
-        entry.account = demand.account.value();
-        entry.per_second = to_signed(demand.per_second);
+    for (const auto& use : value.accounts) {
+        auto& entry = result.accounts.emplace_back();
+        entry.account = use.account.value();
+        entry.in_window = to_signed(use.in_window);
+        entry.per_second = to_signed(use.per_second);
     }
     for (const auto& usage : value.usage) {
         auto& entry = result.usage.emplace_back();
@@ -102,9 +103,9 @@
     for (const auto& load : value.loads)
         result.loads.push_back({endpoint_id(load.endpoint), to_count(load.running),
                                 to_amount(load.waiting_tokens)});
-    for (const auto& demand : value.demands)
-        result.demands.push_back(
-            {account_id(demand.account), to_amount(demand.per_second)});
+    for (const auto& use : value.accounts)
+        result.accounts.push_back(
+            {account_id(use.account), to_amount(use.in_window), to_amount(use.per_second)});
     for (const auto& entry : value.usage) {
         usage::usage_entry usage{result.process, result.start, entry.window, {}};
         for (const auto& [account, count] : entry.counts)
--- a/Libraries/forwarding/include/siskinwharf/forwarding/process_settings.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/process_settings.h
@@ -18,6 +18,7 @@
     double retry_ratio = 0.2;             ///< Repeats for each request of a service.
     seconds retry_window{10};
     double retry_slack = 0;               ///< Repeats that are always allowed, over all processes.
+    milliseconds quota_window{8'000};
     milliseconds lease{3'000};            ///< Within which duties must not go back to a former holder.
     milliseconds usage_window{5'000};
     milliseconds usage_due{10'000};       ///< From the end of a window until its report is due.
--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -44,7 +44,7 @@
     /// What a request counts against the quota of its account.
     [[nodiscard]] static double quota_amount(const deployment::account& account, const call& request);
     [[nodiscard]] bool take_quota(const deployment::account& account, double amount, monotonic_time now);
-    void give_back_quota(const deployment::account& account, double amount);
+    void give_back_quota(const deployment::account& account, double amount, monotonic_time now);
 
     /// Counts a caller's request to a service.
     void count_request(const service_id& service, const dispatch::workload& work, monotonic_time now);
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -378,7 +378,7 @@
 asio::awaitable<void> forwarded_request::refuse(http::refusal reason)
 {
     if (reason.result == outcome::not_run && m_account != nullptr && m_quota_taken > 0)
-        m_state.give_back_quota(*m_account, m_quota_taken);
+        m_state.give_back_quota(*m_account, m_quota_taken, std::chrono::steady_clock::now());
     log_event(event::request_refused,
               {{"request", m_call.id.value()},
                {"route", m_route == nullptr ? "" : m_route->name},
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -1,5 +1,6 @@
 #include "siskinwharf/forwarding/traffic_state.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace siskinwharf::forwarding {
@@ -19,12 +20,13 @@
     return result;
 }
 
-std::map<account_id, double> demands_of(const exchange::process_state& state)
+dispatch::quota_use use_of(const exchange::process_state& state, const account_id& account)
 {
-    std::map<account_id, double> result;
-    for (const auto& demand : state.demands)
-        result[demand.account] = static_cast<double>(demand.per_second);
-    return result;
+    for (const auto& use : state.accounts) {
+        if (use.account == account)
+            return {static_cast<double>(use.in_window), static_cast<double>(use.per_second)};
+    }
+    return {};
 }
 
 } // namespace
@@ -34,7 +36,8 @@
     : m_settings(settings),
       m_board(board_settings_of(settings)),
       m_ledger(settings.instance, start),
-      m_clock(wall, now)
+      m_clock(wall, now),
+      m_processes(1 + settings.seeds.size())
 {
 }
 
@@ -45,10 +48,11 @@
     m_snapshot = std::make_shared<const deployment::snapshot>(std::move(content));
     std::erase_if(m_quotas, [this](const auto& item) { return m_snapshot->find_account(item.first) == nullptr; });
     for (const auto& account : m_snapshot->content().accounts) {
-        const auto [quota, is_new] =
-            m_quotas.try_emplace(account.id, account.quota_per_second, account.quota_burst, now);
+        const dispatch::quota_limit limit{account.quota_per_second, account.quota_burst,
+                                          m_settings.bounds.quota_window};
+        const auto [quota, is_new] = m_quotas.try_emplace(account.id, limit, now);
         if (!is_new)
-            quota->second.set_limit(account.quota_per_second, account.quota_burst);
+            quota->second.set_limit(limit);
     }
     return true;
 }
@@ -75,18 +79,13 @@
     for (const auto* peer : heard)
         loads.insert(loads.end(), peer->loads.begin(), peer->loads.end());
     m_board.set_peer_loads(loads);
-    std::vector<std::pair<std::map<account_id, double>, bool>> demands;
-    for (const auto* peer : heard)
-        demands.emplace_back(demands_of(*peer), false);
-    for (const auto* peer : silent)
-        demands.emplace_back(demands_of(*peer), true);
     for (auto& [account, quota] : m_quotas) {
-        std::vector<dispatch::peer_demand> peers;
-        for (const auto& [demand, is_silent] : demands) {
-            const auto found = demand.find(account);
-            peers.push_back({found == demand.end() ? 0.0 : found->second, is_silent});
-        }
-        quota.set_share(dispatch::quota_share(quota.demand(now), peers), now);
+        std::vector<dispatch::peer_use> uses;
+        for (const auto* peer : heard)
+            uses.push_back({use_of(*peer, account), false});
+        for (const auto* peer : silent)
+            uses.push_back({use_of(*peer, account), true});
+        quota.set_others(dispatch::use_of_others(quota.use(now), uses, quota.limit()), m_processes, now);
     }
     m_quarantine.expire(now);
     m_ledger.forget(current_window(now));
@@ -107,10 +106,10 @@
     return found == m_quotas.end() || found->second.try_take(amount, now);
 }
 
-void traffic_state::give_back_quota(const deployment::account& account, double amount)
+void traffic_state::give_back_quota(const deployment::account& account, double amount, monotonic_time now)
 {
     if (const auto found = m_quotas.find(account.id); found != m_quotas.end())
-        found->second.give_back(amount);
+        found->second.give_back(amount, now);
 }
 
 traffic_state::service_traffic& traffic_state::traffic_of(const service_id& service, monotonic_time now)
@@ -118,7 +117,7 @@
     const auto& bounds = m_settings.bounds;
     const dispatch::retry_bound bound{bounds.retry_ratio, bounds.retry_window, bounds.retry_slack};
     return m_services
-        .try_emplace(service, service_traffic{dispatch::retry_allowance(bound), dispatch::account_quota(0, 0, now)})
+        .try_emplace(service, service_traffic{dispatch::retry_allowance(bound), dispatch::account_quota({}, now)})
         .first->second;
 }
 
@@ -148,7 +147,7 @@
 {
     exchange::service_demand result{service, 0, 0};
     if (const auto found = m_services.find(service); found != m_services.end())
-        result.tokens_per_second = static_cast<std::uint64_t>(std::llround(found->second.tokens.demand(now)));
+        result.tokens_per_second = static_cast<std::uint64_t>(std::llround(found->second.tokens.use(now).per_second));
     for (const auto& [id, state] : m_board.endpoints()) {
         if (state.record.service == service)
             result.running += state.running;
@@ -162,9 +161,10 @@
     state.configuration_version = m_snapshot ? m_snapshot->version() : 0;
     state.loads = m_board.own_loads();
     for (const auto& [account, quota] : m_quotas) {
-        const auto demand = std::llround(quota.demand(now));
-        if (demand > 0)
-            state.demands.push_back({account, static_cast<std::uint64_t>(demand)});
+        const auto use = quota.use(now);
+        if (use.in_window > 0)
+            state.accounts.push_back({account, static_cast<std::uint64_t>(std::llround(use.in_window)),
+                                      static_cast<std::uint64_t>(std::llround(std::max(use.per_second, 0.0)))});
     }
     state.usage = m_ledger.own_entries(current_window(now) - repeated_windows);
     for (const auto& [service, traffic] : m_services)
