Dispatch: Use half of the quota's tolerance

Cause: the rest of a small account's limit, divided by 9, is less than one request, so one request blocked the next.

--- a/Libraries/dispatch/include/siskinwharf/dispatch/account_quota.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/account_quota.h
@@ -13,6 +13,8 @@
     double per_second = 0; ///< 0: no limit.
     double burst = 0;
     milliseconds window{8'000};
+    double tolerance_share = 0;  ///< Of the limit, by which all processes together may exceed it.
+    double tolerance_amount = 0; ///< The same as an amount.
 
     auto operator<=>(const quota_limit&) const = default;
 };
@@ -65,12 +67,15 @@
     };
     slice& current(monotonic_time now);
     [[nodiscard]] double admitted_since(monotonic_time first) const;
-    [[nodiscard]] bool may_take(monotonic_time now);
+    [[nodiscard]] bool may_take(double amount, monotonic_time now);
+    /// The limit in a window and the used part of the tolerance.
+    [[nodiscard]] double allowed_in_window() const;
     void refill(monotonic_time now);
 
     quota_limit m_limit;
     monotonic_time m_started;
     std::size_t m_processes = 1;
+    double m_others_in_window = 0;
     double m_part = 0;  ///< This process's part of what is left of the limit.
     double m_level = 0; ///< Of that part, what may be taken now.
     monotonic_time m_refilled_at;
--- a/Libraries/dispatch/src/account_quota.cpp
+++ b/Libraries/dispatch/src/account_quota.cpp
@@ -10,6 +10,11 @@
 constexpr milliseconds recent_time{1'000};
 /// In which all processes have heard what each has admitted, with the delay between regions.
 constexpr double exchange_time_s = 1;
+/// Part of the tolerance that is used. The rest covers what processes admit before they hear of each other.
+constexpr double used_tolerance = 0.5;
+/// While the account has used less than this share of what is allowed, its requests are not rationed: it would take a
+/// sudden rise to many times the limit to exceed it before the processes hear of each other.
+constexpr double free_share = 0.5;
 
 double seconds_between(monotonic_time from, monotonic_time until)
 {
@@ -46,8 +51,8 @@
     refill(now);
     m_processes = std::max<std::size_t>(processes, 1);
     const auto own = this->use(now);
-    const auto window_s = std::chrono::duration<double>(m_limit.window).count();
-    const auto left = m_limit.per_second * window_s + m_limit.burst - own.in_window - use.in_window;
+    const auto left = allowed_in_window() - own.in_window - use.in_window;
+    m_others_in_window = use.in_window;
     // Half is divided equally, so that a process without recent requests can admit some.
     const auto equal = 1.0 / static_cast<double>(m_processes);
     const auto total = own.per_second + use.per_second;
@@ -55,6 +60,13 @@
     m_part = std::max(0.0, left) * (equal + by_use) / 2;
 }
 
+double account_quota::allowed_in_window() const
+{
+    const auto window_s = std::chrono::duration<double>(m_limit.window).count();
+    const auto limit = m_limit.per_second * window_s + m_limit.burst;
+    return limit * (1 + used_tolerance * m_limit.tolerance_share) + used_tolerance * m_limit.tolerance_amount;
+}
+
 void account_quota::refill(monotonic_time now)
 {
     m_level = std::min(m_part, m_level + m_part * seconds_between(m_refilled_at, now) / exchange_time_s);
@@ -86,20 +98,23 @@
     return {admitted_since(now - m_limit.window), admitted_since(now - recent_time) / recent_s};
 }
 
-bool account_quota::may_take(monotonic_time now)
+bool account_quota::may_take(double amount, monotonic_time now)
 {
     const auto window_s = std::chrono::duration<double>(m_limit.window).count();
     refill(now);
     // A process that has just started does not know what it admitted before: it begins with an equal share of the
     // rate and without a burst.
-    if (const auto age = seconds_between(m_started, now); age < window_s)
-        return admitted_since(m_started) <= m_limit.per_second * age / static_cast<double>(m_processes);
-    return m_level > 0;
+    if (const auto age = seconds_between(m_started, now); age < window_s) {
+        const auto allowed = m_limit.per_second * age + used_tolerance * m_limit.tolerance_amount;
+        return admitted_since(m_started) <= allowed / static_cast<double>(m_processes);
+    }
+    const auto known = admitted_since(now - m_limit.window) + m_others_in_window;
+    return m_level > 0 || known + amount <= free_share * allowed_in_window();
 }
 
 bool account_quota::try_take(double amount, monotonic_time now)
 {
-    if (m_limit.per_second > 0 && !may_take(now))
+    if (m_limit.per_second > 0 && !may_take(amount, now))
         return false;
     current(now).amount += amount;
     m_level -= amount;
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -49,7 +49,8 @@
     std::erase_if(m_quotas, [this](const auto& item) { return m_snapshot->find_account(item.first) == nullptr; });
     for (const auto& account : m_snapshot->content().accounts) {
         const dispatch::quota_limit limit{account.quota_per_second, account.quota_burst,
-                                          m_settings.bounds.quota_window};
+                                          m_settings.bounds.quota_window, m_settings.bounds.quota_overage,
+                                          m_settings.bounds.quota_slack};
         const auto [quota, is_new] = m_quotas.try_emplace(account.id, limit, now);
         if (!is_new)
             quota->second.set_limit(limit);
