Control: Order the endpoints of services with scaling

The planner reuses the mix of capacity_planner; it adds the platform's bounds, a floor of on-demand replicas for 0.6 of each failure domain's work, and returns nothing before its replacement serves.

--- /dev/null
+++ b/Libraries/control/src/endpoint_planner.cpp
@@ -0,0 +1,232 @@
+#include "siskinwharf/control/endpoint_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace siskinwharf::control {
+
+namespace {
+
+/// Share of an endpoint's time that may be used; above it, the wait for the first event grows past the targets.
+constexpr double target_utilization = 0.75;
+/// The demand of this time decides, so that a short lull returns nothing.
+constexpr seconds demand_memory{12};
+/// A surplus is returned after this time. The memory of the demand is the larger part of the hysteresis.
+constexpr seconds surplus_time{2};
+/// Load is measured for this time before endpoints are returned for the first time.
+constexpr seconds first_measurement{4};
+/// Before there is any load, as many reclaimable endpoints are ordered in each failure domain as this share of those
+/// that stand there, so that the on-demand ones can be returned as soon as the load is known.
+constexpr double first_reclaimable = 0.6;
+/// Share of the work of a failure domain that its on-demand endpoints can carry alone, when all reclaimable ones are
+/// taken at once and no others are to be had.
+constexpr double on_demand_share = 0.6;
+/// The minimum of a failure domain is not filled with reclaimable endpoints for this time after a refusal.
+constexpr seconds refusal_memory{10};
+/// Endpoints register this long after their start time at the latest.
+constexpr milliseconds registration_time{3'000};
+/// Parts into which an endpoint's capacity is divided for `capacity_planner`.
+constexpr std::uint32_t units_of_endpoint = 100;
+constexpr double microcents = 1e6;
+constexpr std::uint64_t unlimited_budget = 1'000'000'000'000'000ULL;
+
+capacity_settings planner_settings()
+{
+    capacity_settings settings;
+    settings.demand_margin = 0;
+    settings.first_backoff = seconds(2);
+    settings.longest_backoff = seconds(8);
+    settings.keep_surplus = surplus_time;
+    settings.starts_per_minute = 6'000;
+    settings.burst_starts = 1'000;
+    return settings;
+}
+
+std::uint32_t serving(const domain_endpoints& domain, instance_kind kind)
+{
+    return kind == instance_kind::on_demand ? domain.on_demand : domain.reclaimable;
+}
+
+const domain_endpoints& find_domain(const service_situation& situation, const failure_domain_id& domain)
+{
+    return *std::ranges::find(situation.domains, domain, &domain_endpoints::domain);
+}
+
+offer_key key_of(const failure_domain_id& domain, instance_kind kind)
+{
+    return {domain, "", kind};
+}
+
+} // namespace
+
+endpoint_planner::endpoint_planner() : m_planner(planner_settings()) {}
+
+std::vector<double> endpoint_planner::highest_demands(const service_situation& situation, monotonic_time now)
+{
+    while (!m_demands.empty() && m_demands.front().first + demand_memory < now)
+        m_demands.pop_front();
+    std::vector<double> current;
+    for (const auto& domain : situation.domains)
+        current.push_back(domain.busy);
+    m_demands.emplace_back(now, std::move(current));
+    std::vector<double> highest(situation.domains.size());
+    for (const auto& [time, demands] : m_demands) {
+        for (std::size_t index = 0; index < std::min(demands.size(), highest.size()); ++index)
+            highest[index] = std::max(highest[index], demands[index]);
+    }
+    return highest;
+}
+
+void endpoint_planner::keep_floor(const service_situation& situation, const std::vector<double>& demands,
+                                  std::vector<endpoint_count>& wanted) const
+{
+    for (auto& entry : wanted) {
+        if (entry.kind != instance_kind::on_demand)
+            continue;
+        for (std::size_t index = 0; index < demands.size(); ++index) {
+            if (situation.domains[index].domain == entry.domain)
+                entry.count = std::max(
+                    entry.count, static_cast<std::uint32_t>(std::lround(demands[index] * on_demand_share)));
+        }
+    }
+}
+
+std::uint32_t endpoint_planner::starting(const offer& key, std::uint32_t serving_count, monotonic_time now) const
+{
+    const auto order = m_orders.find(key);
+    if (order == m_orders.end() || order->second.starts_until <= now)
+        return 0;
+    return order->second.count - std::min(order->second.count, serving_count);
+}
+
+capacity_situation endpoint_planner::situation_of(const service_situation& situation, double demand,
+                                                  monotonic_time now) const
+{
+    capacity_situation result;
+    result.demand_streams =
+        static_cast<std::uint32_t>(std::ceil(demand / target_utilization * units_of_endpoint));
+    for (const auto& domain : situation.domains) {
+        for (const auto kind : {instance_kind::reclaimable, instance_kind::on_demand}) {
+            const auto share = kind == instance_kind::reclaimable ? situation.reclaimable_price : 1.0;
+            if (kind == instance_kind::reclaimable && situation.reclaimable_price <= 0)
+                continue; // The platform offers none.
+            capacity_offer entry;
+            entry.key = key_of(domain.domain, kind);
+            entry.microcents_per_hour = static_cast<std::uint64_t>(domain.price * share * microcents);
+            entry.streams = units_of_endpoint;
+            entry.running = serving(domain, kind);
+            entry.starting = starting({domain.domain, kind}, entry.running, now);
+            result.offers.push_back(entry);
+        }
+        result.budgets.push_back({domain.domain, unlimited_budget});
+    }
+    return result;
+}
+
+std::vector<endpoint_count> endpoint_planner::first_orders(const service_situation& situation) const
+{
+    std::vector<endpoint_count> orders;
+    if (situation.reclaimable_price <= 0)
+        return orders;
+    for (const auto& domain : situation.domains) {
+        const auto room = situation.maximum - std::min(situation.maximum, domain.on_demand);
+        const auto count = std::min(
+            static_cast<std::uint32_t>(std::ceil(domain.on_demand * first_reclaimable)), room);
+        if (domain.reclaimable < count && !m_orders.contains({domain.domain, instance_kind::reclaimable}))
+            orders.push_back({domain.domain, instance_kind::reclaimable, count});
+    }
+    return orders;
+}
+
+std::vector<endpoint_count> endpoint_planner::plan(const service_situation& situation, monotonic_time now)
+{
+    const auto demands = highest_demands(situation, now);
+    const auto demand = std::accumulate(demands.begin(), demands.end(), 0.0);
+    if (demand <= 0)
+        return first_orders(situation);
+    if (m_first_demand_at == monotonic_time{})
+        m_first_demand_at = now;
+    const auto planned_for = situation_of(situation, demand, now);
+    const auto planned = m_planner.plan(planned_for, now);
+    std::vector<endpoint_count> wanted;
+    for (const auto& option : planned_for.offers) {
+        const auto order = std::ranges::find(planned.orders, option.key, &capacity_order::key);
+        const auto count = order == planned.orders.end() ? option.running + option.starting : order->count;
+        wanted.push_back({option.key.domain, option.key.kind, count});
+    }
+    keep_floor(situation, demands, wanted);
+    if (now < m_first_demand_at + first_measurement) {
+        for (auto& entry : wanted)
+            entry.count = std::max(entry.count, serving(find_domain(situation, entry.domain), entry.kind));
+    }
+    return changed(situation, bounded(situation, demand, std::move(wanted), now), now);
+}
+
+std::vector<endpoint_count> endpoint_planner::bounded(const service_situation& situation, double demand,
+                                                      std::vector<endpoint_count> wanted,
+                                                      monotonic_time now) const
+{
+    const auto may_have_reclaimable = [&](const endpoint_count& entry, monotonic_time at) {
+        const auto refusal = m_refusals.find(entry.domain);
+        const bool is_refused = refusal != m_refusals.end() && at < refusal->second + refusal_memory;
+        return situation.reclaimable_price > 0 && !is_refused;
+    };
+    std::uint32_t serving_after = 0;
+    for (const auto& entry : wanted)
+        serving_after += std::min(entry.count, serving(find_domain(situation, entry.domain), entry.kind));
+    // Nothing is returned while what would be left serving cannot carry the load.
+    if (serving_after < std::ceil(demand / target_utilization)) {
+        for (auto& entry : wanted)
+            entry.count = std::max(entry.count, serving(find_domain(situation, entry.domain), entry.kind));
+    }
+    // On-demand endpoints, which come first, are there for sure; reclaimable ones take the rest of the bounds.
+    std::map<failure_domain_id, std::uint32_t> counted;
+    for (const auto kind : {instance_kind::on_demand, instance_kind::reclaimable}) {
+        for (auto& entry : wanted) {
+            if (entry.kind != kind)
+                continue;
+            auto& sum = counted[entry.domain];
+            entry.count = std::min(entry.count, situation.maximum - std::min(situation.maximum, sum));
+            const bool fills_minimum = (kind == instance_kind::reclaimable) == may_have_reclaimable(entry, now);
+            if (fills_minimum && sum + entry.count < situation.minimum)
+                entry.count = situation.minimum - sum;
+            sum += entry.count;
+        }
+    }
+    return wanted;
+}
+
+std::vector<endpoint_count> endpoint_planner::changed(const service_situation& situation,
+                                                      const std::vector<endpoint_count>& wanted,
+                                                      monotonic_time now) const
+{
+    std::vector<endpoint_count> orders;
+    for (const auto& entry : wanted) {
+        const auto there = serving(find_domain(situation, entry.domain), entry.kind);
+        const auto order = m_orders.find({entry.domain, entry.kind});
+        auto known = order == m_orders.end() ? there : order->second.count;
+        // Endpoints that were reclaimed, or did not start in time, are not replaced without a new order.
+        if (known > there && order->second.starts_until <= now)
+            known = there;
+        if (entry.count != known)
+            orders.push_back(entry);
+    }
+    return orders;
+}
+
+void endpoint_planner::accepted(const endpoint_count& order, milliseconds start_time, monotonic_time now)
+{
+    m_planner.start_accepted(key_of(order.domain, order.kind));
+    m_orders[{order.domain, order.kind}] = {order.count, now + start_time + registration_time};
+}
+
+void endpoint_planner::refused(const endpoint_count& order, monotonic_time now)
+{
+    m_planner.start_refused(key_of(order.domain, order.kind), now);
+    if (order.kind == instance_kind::reclaimable)
+        m_refusals[order.domain] = now;
+    m_orders.erase({order.domain, order.kind});
+}
+
+} // namespace siskinwharf::control
--- /dev/null
+++ b/Libraries/control/tests/endpoint_planner_test.cpp
@@ -0,0 +1,161 @@
+#include <catch2/catch.hpp>
+
+#include "siskinwharf/control/endpoint_planner.h"
+
+namespace siskinwharf::control {
+
+namespace {
+
+const failure_domain_id kingston("kingston-a");
+const failure_domain_id montego("montego-a");
+const failure_domain_id ocho("ocho-a");
+
+void set_busy(service_situation& situation, double busy)
+{
+    for (auto& domain : situation.domains)
+        domain.busy = busy / static_cast<double>(situation.domains.size());
+}
+
+service_situation make_situation(double busy)
+{
+    service_situation result;
+    result.minimum = 1;
+    result.maximum = 12;
+    result.start_time = milliseconds(4'000);
+    result.reclaimable_price = 0.18;
+    result.domains = {{kingston, 1.0, 0, 6, 0}, {montego, 0.8, 0, 6, 0}, {ocho, 1.25, 0, 6, 0}};
+    set_busy(result, busy);
+    return result;
+}
+
+/// A platform that carries out each order after the start time.
+struct fake_platform {
+    void step(monotonic_time now)
+    {
+        for (const auto& order : planner.plan(situation, now)) {
+            if (order.kind == instance_kind::reclaimable && is_dry) {
+                planner.refused(order, now);
+                continue;
+            }
+            planner.accepted(order, situation.start_time, now);
+            for (auto& domain : situation.domains) {
+                if (domain.domain != order.domain)
+                    continue;
+                auto& count = order.kind == instance_kind::on_demand ? domain.on_demand : domain.reclaimable;
+                if (order.count <= count)
+                    count = order.count;
+                else
+                    starts.push_back({now + situation.start_time, order});
+            }
+        }
+        for (const auto& [time, order] : starts) {
+            if (time > now)
+                continue;
+            for (auto& domain : situation.domains) {
+                if (domain.domain == order.domain)
+                    (order.kind == instance_kind::on_demand ? domain.on_demand : domain.reclaimable) =
+                        order.count;
+            }
+        }
+        std::erase_if(starts, [&](const auto& start) { return start.first <= now; });
+    }
+
+    [[nodiscard]] double cost() const
+    {
+        double sum = 0;
+        for (const auto& domain : situation.domains)
+            sum += domain.price * (domain.on_demand + situation.reclaimable_price * domain.reclaimable);
+        return sum;
+    }
+
+    [[nodiscard]] std::uint32_t serving() const
+    {
+        std::uint32_t sum = 0;
+        for (const auto& domain : situation.domains)
+            sum += domain.on_demand + domain.reclaimable;
+        return sum;
+    }
+
+    endpoint_planner planner;
+    service_situation situation = make_situation(0);
+    std::vector<std::pair<monotonic_time, endpoint_count>> starts;
+    bool is_dry = false;
+};
+
+} // namespace
+
+TEST_CASE("a quiet day ends with few reclaimable endpoints, spread over the failure domains")
+{
+    fake_platform platform;
+    monotonic_time now{seconds(1)};
+    const auto before = platform.cost();
+    for (int step = 0; step < 120; ++step, now += milliseconds(500)) {
+        set_busy(platform.situation, step < 20 ? 0 : 3.4);
+        platform.step(now);
+        // What serves carries the load at any moment, also while replacements start.
+        CHECK(platform.serving() >= 3.4 / 0.75);
+    }
+    CHECK(platform.cost() < before * 0.35);
+    for (const auto& domain : platform.situation.domains)
+        CHECK(domain.reclaimable + domain.on_demand >= 2);
+}
+
+TEST_CASE("nothing is returned before the first load was measured")
+{
+    fake_platform platform;
+    set_busy(platform.situation, 0.1);
+    for (const auto& order : platform.planner.plan(platform.situation, monotonic_time{seconds(5)})) {
+        const bool returns = order.kind == instance_kind::on_demand && order.count < 6;
+        CHECK_FALSE(returns);
+    }
+}
+
+TEST_CASE("reclaimed endpoints are ordered again")
+{
+    fake_platform platform;
+    monotonic_time now{seconds(1)};
+    const auto run = [&](int steps) {
+        for (int step = 0; step < steps; ++step, now += milliseconds(500)) {
+            set_busy(platform.situation, 3.4);
+            platform.step(now);
+        }
+    };
+    run(60);
+    auto& reclaimed = platform.situation.domains[1];
+    REQUIRE(reclaimed.reclaimable > 0);
+    reclaimed.reclaimable = 0;
+    run(20);
+    CHECK(reclaimed.reclaimable > 0);
+}
+
+TEST_CASE("when no reclaimable endpoints are to be had, on-demand ones carry the load")
+{
+    fake_platform platform;
+    platform.is_dry = true;
+    platform.situation.domains = {{kingston, 1.0, 0, 0, 4}, {montego, 0.8, 0, 0, 0}, {ocho, 1.25, 0, 0, 4}};
+    monotonic_time now{seconds(1)};
+    for (int step = 0; step < 40; ++step, now += milliseconds(500)) {
+        set_busy(platform.situation, 3.4);
+        platform.step(now);
+    }
+    // The load is carried also if the reclaimable endpoints of one failure domain go.
+    CHECK(platform.serving() - 4 >= 3.4);
+    // The minimum of a failure domain is not asked for again and again where it is refused.
+    CHECK(platform.situation.domains[1].on_demand >= 1);
+}
+
+TEST_CASE("the platform's bounds for each failure domain are kept")
+{
+    fake_platform platform;
+    monotonic_time now{seconds(1)};
+    for (int step = 0; step < 60; ++step, now += milliseconds(500)) {
+        set_busy(platform.situation, 40);
+        platform.step(now);
+        for (const auto& domain : platform.situation.domains) {
+            CHECK(domain.on_demand + domain.reclaimable <= 12);
+            CHECK(domain.on_demand + domain.reclaimable >= 1);
+        }
+    }
+}
+
+} // namespace siskinwharf::control
--- a/Libraries/dispatch/include/siskinwharf/dispatch/account_quota.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/account_quota.h
@@ -58,6 +58,8 @@
     void give_back(double amount, monotonic_time now);
 
     [[nodiscard]] quota_use use(monotonic_time now) const;
+    /// Amount admitted in a second, on average over the last `span`, which is at most the window.
+    [[nodiscard]] double average(milliseconds span, monotonic_time now) const;
     [[nodiscard]] const quota_limit& limit() const { return m_limit; }
 
 private:
--- a/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_board.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_board.h
@@ -82,6 +82,11 @@
     void first_event(attempt_ticket& ticket, monotonic_time now);
     void finish(attempt_ticket& ticket, attempt_result result, monotonic_time now);
 
+    /// Prompt tokens that an engine of this service reads in a millisecond when little delays it.
+    [[nodiscard]] double reading_speed(const service_id& service) const
+    {
+        return times_of(service).unhindered_tokens_per_ms;
+    }
     [[nodiscard]] std::vector<endpoint_load> own_loads() const;
     [[nodiscard]] const endpoint_state* find(const endpoint_id& endpoint) const;
     /// Whether requests may be sent to this endpoint, so far as the list says.
@@ -91,7 +96,8 @@
 private:
     /// Moving averages of one service's endpoints.
     struct service_times {
-        double tokens_per_ms = 50; ///< Prompt tokens that an engine reads.
+        double tokens_per_ms = 50; ///< Prompt tokens that an engine reads, with everything that delays it.
+        double unhindered_tokens_per_ms = 50; ///< The same of the faster attempts.
         double answer_ms = 40;     ///< From the request to the whole answer.
     };
 
--- a/Libraries/dispatch/src/account_quota.cpp
+++ b/Libraries/dispatch/src/account_quota.cpp
@@ -92,10 +92,14 @@
     return sum;
 }
 
+double account_quota::average(milliseconds span, monotonic_time now) const
+{
+    return admitted_since(now - span) / std::chrono::duration<double>(span).count();
+}
+
 quota_use account_quota::use(monotonic_time now) const
 {
-    const auto recent_s = std::chrono::duration<double>(recent_time).count();
-    return {admitted_since(now - m_limit.window), admitted_since(now - recent_time) / recent_s};
+    return {admitted_since(now - m_limit.window), average(recent_time, now)};
 }
 
 bool account_quota::may_take(double amount, monotonic_time now)
--- a/Libraries/dispatch/src/endpoint_board.cpp
+++ b/Libraries/dispatch/src/endpoint_board.cpp
@@ -15,6 +15,10 @@
 constexpr double first_event_ms = 40;
 /// Weight of the newest sample in the moving averages.
 constexpr double sample_weight = 0.1;
+/// Weights of the moving average that follows the faster samples: delays, which are no loss of speed, prevail in the
+/// others.
+constexpr double faster_weight = 0.05;
+constexpr double slower_weight = 0.01;
 constexpr double slowest_tokens_per_ms = 2;
 constexpr double fastest_tokens_per_ms = 500;
 /// Share of the latency target that the expected time may take, less for less urgent requests, so that these are
@@ -237,6 +241,8 @@
     auto& times = m_times[ticket.service];
     const auto sample = std::clamp(tokens / waited, slowest_tokens_per_ms, fastest_tokens_per_ms);
     times.tokens_per_ms += sample_weight * (sample - times.tokens_per_ms);
+    auto& unhindered = times.unhindered_tokens_per_ms;
+    unhindered += (sample > unhindered ? faster_weight : slower_weight) * (sample - unhindered);
 }
 
 void endpoint_board::finish(attempt_ticket& ticket, attempt_result result, monotonic_time now)
--- a/Libraries/forwarding/include/siskinwharf/forwarding/duty_runner.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/duty_runner.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "siskinwharf/cloud/table_store.h"
+#include "siskinwharf/control/endpoint_planner.h"
 #include "siskinwharf/control/lease_holder.h"
 #include "siskinwharf/forwarding/duty_platform.h"
 #include "siskinwharf/forwarding/peer_exchange.h"
@@ -33,6 +34,8 @@
     boost::asio::awaitable<void> run_lease();
     boost::asio::awaitable<void> report_usage();
     boost::asio::awaitable<void> order_endpoints();
+    boost::asio::awaitable<void> order_endpoints(const deployment::service& service);
+    [[nodiscard]] control::service_situation situation_of(const deployment::service& service) const;
     void note_holder();
     [[nodiscard]] bool may_call() const;
     [[nodiscard]] duty_holder holder() const;
@@ -47,7 +50,7 @@
     control::lease_holder m_lease;
     usage::report_plan m_reports;
     std::optional<std::uint64_t> m_noted;
-    std::map<std::pair<service_id, failure_domain_id>, std::uint32_t> m_ordered;
+    std::map<service_id, control::endpoint_planner> m_planners;
     monotonic_time m_next_order{};
     bool m_is_stopping = false;
 };
--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -47,7 +47,9 @@
     void give_back_quota(const deployment::account& account, double amount, monotonic_time now);
 
     /// Counts a caller's request to a service.
-    void count_request(const service_id& service, const dispatch::workload& work, monotonic_time now);
+    void count_request(const service_id& service, monotonic_time now);
+    /// Counts prompt tokens that endpoints of a service have to read, or would have to for a refused request.
+    void count_work(const service_id& service, std::uint64_t tokens, monotonic_time now);
     [[nodiscard]] bool try_repeat(const service_id& service, monotonic_time now);
     /// Counts a request that an endpoint has begun to run.
     void count_run(const account_id& account, monotonic_time now);
--- a/Libraries/forwarding/src/duty_runner.cpp
+++ b/Libraries/forwarding/src/duty_runner.cpp
@@ -1,5 +1,6 @@
 #include "siskinwharf/forwarding/duty_runner.h"
 
+#include <algorithm>
 #include <ctime>
 #include <exception>
 
@@ -21,6 +22,10 @@
 constexpr milliseconds step_period{200};
 /// Time that a call to the platform may take; a call is made only while the lease lasts that long.
 constexpr milliseconds call_time{800};
+constexpr milliseconds order_period{1'000};
+constexpr double milliseconds_in_second = 1'000;
+/// Share of an engine's time that its running streams take when all of its slots are used; the rest reads prompts.
+constexpr double writing_weight = 0.2;
 /// Actions on reports in one step, so that the lease is renewed in between.
 constexpr int reports_in_a_step = 4;
 
@@ -114,7 +119,7 @@
         else
             log_event(event::lease_lost, {{"fencing", std::to_string(m_noted.value_or(0))}});
         m_reports.restart();
-        m_ordered.clear();
+        m_planners.clear();
         m_noted = fencing;
     }
     m_peers.set_lease_number(may_call() ? fencing.value_or(0) : 0);
@@ -161,7 +166,75 @@
 
 asio::awaitable<void> duty_runner::order_endpoints()
 {
-    co_return;
+    const auto snapshot = m_state.configuration();
+    if (!snapshot || !may_call() || now() < m_next_order)
+        co_return;
+    m_next_order = now() + order_period;
+    for (const auto& service : snapshot->content().services) {
+        if (service.scaling)
+            co_await order_endpoints(service);
+    }
+}
+
+control::service_situation duty_runner::situation_of(const deployment::service& service) const
+{
+    control::service_situation result;
+    const auto& scaling = *service.scaling;
+    result.minimum = scaling.minimum;
+    result.maximum = scaling.maximum;
+    result.start_time = scaling.start_time;
+    result.reclaimable_price = scaling.reclaimable_price;
+    std::map<failure_domain_id, control::domain_endpoints> domains;
+    double slots = 1;
+    for (const auto& [id, state] : m_state.board().endpoints()) {
+        if (state.record.service != service.id)
+            continue;
+        auto& domain = domains[state.record.domain];
+        slots = std::max(slots, static_cast<double>(state.record.slots));
+        if (!state.record.is_leaving)
+            ++(state.record.is_reclaimable ? domain.reclaimable : domain.on_demand);
+    }
+    // Only failure domains in which the service runs may be ordered for; the prices name these.
+    for (const auto& [id, price] : scaling.prices)
+        domains[id].price = price;
+    for (const auto& [id, demand] : m_peers.demand_of(service.id)) {
+        const auto reading = static_cast<double>(demand.tokens_per_second) /
+                             (m_state.board().reading_speed(service.id) * milliseconds_in_second);
+        const auto writing = demand.running / slots;
+        if (const auto domain = domains.find(id); domain != domains.end())
+            domain->second.busy += service.engine ? reading + writing * writing_weight : writing;
+    }
+    for (auto& [id, domain] : domains) {
+        domain.domain = id;
+        result.domains.push_back(domain);
+    }
+    return result;
+}
+
+asio::awaitable<void> duty_runner::order_endpoints(const deployment::service& service)
+{
+    const auto situation = situation_of(service);
+    auto& planner = m_planners[service.id];
+    double busy = 0;
+    for (const auto& domain : situation.domains)
+        busy += domain.busy;
+    for (const auto& order : planner.plan(situation, now())) {
+        if (!may_call())
+            co_return;
+        const endpoint_target target{service.id, order.domain, order.count,
+                                     order.kind == control::instance_kind::reclaimable};
+        const auto result = co_await m_platform.order_endpoints(holder(), target);
+        if (result == duty_result::done)
+            planner.accepted(order, situation.start_time, now());
+        else if (result == duty_result::refused)
+            planner.refused(order, now());
+        log_event(event::order_sent, {{"service", service.id.value()},
+                                      {"domain", order.domain.value()},
+                                      {"kind", target.is_reclaimable ? "reclaimable" : "on_demand"},
+                                      {"count", std::to_string(order.count)},
+                                      {"busy", fmt::format("{:.2f}", busy)},
+                                      {"outcome", std::string(to_string(result))}});
+    }
 }
 
 } // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -124,7 +124,7 @@
         return http::refusal{refusal_type::no_endpoint, "the request crashed endpoints", outcome::not_run};
     const auto rank = m_account != nullptr && m_account->rank ? *m_account->rank : m_route->rank;
     m_call.work.urgency = m_snapshot->urgency(rank);
-    m_state.count_request(m_service->id, m_call.work, now);
+    m_state.count_request(m_service->id, now);
     if (m_account == nullptr)
         return std::nullopt;
     const auto amount = traffic_state::quota_amount(*m_account, m_call);
@@ -170,6 +170,7 @@
             co_await answer_failure(attempt_end::failed);
             co_return std::nullopt;
         }
+        m_state.count_work(m_service->id, m_call.work.prompt_tokens, now);
         const auto type = refused->reason == dispatch::refusal_reason::overloaded
                               ? http::refusal_type::deadline_unreachable
                               : http::refusal_type::no_endpoint;
@@ -182,6 +183,7 @@
     const auto endpoint = chosen.endpoint;
     m_tried.push_back(endpoint.id);
     auto ticket = m_state.board().start(*m_service, endpoint.id, m_call.work, now);
+    m_state.count_work(m_service->id, ticket.reading_tokens, now);
     log_event(event::request_placed, {{"request", m_call.id.value()},
                                       {"endpoint", endpoint.id.value()},
                                       {"service", m_service->id.value()},
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -9,6 +9,8 @@
 
 /// Windows of usage that each message repeats. A peer that misses all messages of this time misses counts.
 constexpr usage::window_number repeated_windows = 4;
+/// Over which the work that callers ask for is averaged.
+constexpr milliseconds demand_span{6'000};
 /// Records of crashing requests in one message.
 constexpr std::size_t exchanged_crashes = 32;
 
@@ -122,11 +124,15 @@
         .first->second;
 }
 
-void traffic_state::count_request(const service_id& service, const dispatch::workload& work, monotonic_time now)
+void traffic_state::count_request(const service_id& service, monotonic_time now)
 {
-    auto& traffic = traffic_of(service, now);
-    traffic.allowance.on_first_request(now);
-    static_cast<void>(traffic.tokens.try_take(static_cast<double>(work.prompt_tokens), now));
+    traffic_of(service, now).allowance.on_first_request(now);
+}
+
+void traffic_state::count_work(const service_id& service, std::uint64_t tokens, monotonic_time now)
+{
+    // Without a limit, so that it only counts.
+    static_cast<void>(traffic_of(service, now).tokens.try_take(static_cast<double>(tokens), now));
 }
 
 bool traffic_state::try_repeat(const service_id& service, monotonic_time now)
@@ -148,7 +154,7 @@
 {
     exchange::service_demand result{service, 0, 0};
     if (const auto found = m_services.find(service); found != m_services.end())
-        result.tokens_per_second = static_cast<std::uint64_t>(std::llround(found->second.tokens.use(now).per_second));
+        result.tokens_per_second = static_cast<std::uint64_t>(std::llround(found->second.tokens.average(demand_span, now)));
     for (const auto& [id, state] : m_board.endpoints()) {
         if (state.record.service == service)
             result.running += state.running;
