--- a/Libraries/dispatch/tests/quota_test.cpp
+++ b/Libraries/dispatch/tests/quota_test.cpp
@@ -125,7 +125,7 @@
     for (int step = 0; step < 300; ++step) {
         now += milliseconds(100);
         // The traffic rises when a third of the processes is cut off from the others.
-        const auto offered = now < cut_at ? 10.0 : 400.0;
+        const auto offered = now < cut_at ? 0.0 : 400.0;
         steps.push_back(all.advance(now, milliseconds(100), offered, false));
         all.exchange(now, now < cut_at ? 9 : 6);
     }
