--- a/Libraries/claims/include/siskinwharf/claims/claim.h
+++ b/Libraries/claims/include/siskinwharf/claims/claim.h
@@ -101,8 +101,8 @@
     /// Attempts that are known never to send: by token, by their holder's word, or this one after it gave up.
     std::set<attempt_number> m_released;
     cloud::write_condition m_condition; ///< Of the last claim write.
-    std::uint64_t m_version = 0;           ///< Of the row this attempt holds or asks about.
-    attempt_number m_asked_attempt = 0;    ///< Attempt in the row that was seen last.
+    std::uint64_t m_version = 0;        ///< Of the row this attempt holds or asks about.
+    attempt_number m_asked_attempt = 0; ///< Attempt in the row that was seen last.
     unsigned m_claim_writes = 0;
     unsigned m_final_retries = 0;
     std::size_t m_read_backs = 0;
--- a/Libraries/claims/src/claim_batcher.cpp
+++ b/Libraries/claims/src/claim_batcher.cpp
@@ -78,8 +78,7 @@
     return m_queue.front().submitted + m_limits.maximum_age;
 }
 
-std::vector<write_result> claim_batcher::on_result(std::uint64_t number,
-                                                   const cloud::commit_result& result)
+std::vector<write_result> claim_batcher::on_result(std::uint64_t number, const cloud::commit_result& result)
 {
     const auto found = m_in_flight.find(number);
     if (found == m_in_flight.end())
--- a/Libraries/claims/src/claim_cleanup.cpp
+++ b/Libraries/claims/src/claim_cleanup.cpp
@@ -31,8 +31,7 @@
     return writes;
 }
 
-void claim_cleanup::on_result(attempt_number attempt, const cloud::commit_result& result,
-                              monotonic_time now)
+void claim_cleanup::on_result(attempt_number attempt, const cloud::commit_result& result, monotonic_time now)
 {
     const auto found = m_entries.find(attempt);
     if (found == m_entries.end() || !found->second.out)
--- a/Libraries/claims/tests/claim_contract_test.cpp
+++ b/Libraries/claims/tests/claim_contract_test.cpp
@@ -185,8 +185,7 @@
     claim_cleanup cleanup({});
     (void)cleanup.add(*machine.take_obligation(), {});
     const monotonic_time now = monotonic_time{} + seconds{1};
-    cleanup.on_result(cleanup.due(now, 1).at(0).attempt, cloud::table_conflict{{{0, row_named(row)}}},
-                      now);
+    cleanup.on_result(cleanup.due(now, 1).at(0).attempt, cloud::table_conflict{{{0, row_named(row)}}}, now);
     const auto next = cleanup.due(now, 1);
     return next.empty() ? "nothing" : describe_write(next.front().write);
 }
--- a/Libraries/claims/tests/claim_driver.h
+++ b/Libraries/claims/tests/claim_driver.h
@@ -92,8 +92,7 @@
             action = machine.on_not_sent();
     }
 
-    static cloud::commit_result commit(fake_table& table, const cloud::table_write& write,
-                                          unsigned fault)
+    static cloud::commit_result commit(fake_table& table, const cloud::table_write& write, unsigned fault)
     {
         if (fault < 2)
             return table.apply(write);
--- a/Libraries/cloud/include/siskinwharf/cloud/http_platform.h
+++ b/Libraries/cloud/include/siskinwharf/cloud/http_platform.h
@@ -4,10 +4,10 @@
 #include <optional>
 #include <string>
 
-#include "siskinwharf/http/client.h"
 #include "siskinwharf/cloud/cloud_api.h"
 #include "siskinwharf/cloud/instance_list.h"
 #include "siskinwharf/cloud/table_store.h"
+#include "siskinwharf/http/client.h"
 
 namespace siskinwharf::cloud {
 
--- a/Libraries/cloud/tests/cloud_api_test.cpp
+++ b/Libraries/cloud/tests/cloud_api_test.cpp
@@ -6,8 +6,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include "siskinwharf/http/server.h"
 #include "siskinwharf/cloud/http_platform.h"
+#include "siskinwharf/http/server.h"
 
 namespace siskinwharf::cloud {
 
--- a/Libraries/control/include/siskinwharf/control/endpoint_planner.h
+++ b/Libraries/control/include/siskinwharf/control/endpoint_planner.h
@@ -45,9 +45,10 @@
     bool operator==(const endpoint_count&) const = default;
 };
 
-/// Decides how many endpoints of a service to run, where and of which kind. `capacity_planner` finds the cheapest mix
-/// that survives the loss of all reclaimable endpoints of a failure domain; this class measures the demand, keeps the
-/// platform's bounds, and gives nothing back before its replacement serves. Not thread-safe.
+/// Decides how many endpoints of a service to run, where and of which kind. `capacity_planner` finds the
+/// cheapest mix that survives the loss of all reclaimable endpoints of a failure domain; this class measures
+/// the demand, keeps the platform's bounds, and gives nothing back before its replacement serves. Not
+/// thread-safe.
 class endpoint_planner {
 public:
     endpoint_planner();
@@ -83,7 +84,7 @@
 
     capacity_planner m_planner;
     std::map<offer, standing_order> m_orders;
-    std::map<failure_domain_id, monotonic_time> m_refusals; ///< Of reclaimable endpoints.
+    std::map<failure_domain_id, monotonic_time> m_refusals;               ///< Of reclaimable endpoints.
     std::deque<std::pair<monotonic_time, std::vector<double>>> m_demands; ///< In the order of the domains.
     monotonic_time m_first_demand_at{};
 };
--- a/Libraries/control/include/siskinwharf/control/lease_holder.h
+++ b/Libraries/control/include/siskinwharf/control/lease_holder.h
@@ -10,8 +10,8 @@
 
 #include "siskinwharf/base/identifier.h"
 #include "siskinwharf/base/time.h"
-#include "siskinwharf/control/lease_record.h"
 #include "siskinwharf/cloud/table.h"
+#include "siskinwharf/control/lease_record.h"
 
 namespace siskinwharf::control {
 
--- a/Libraries/control/src/endpoint_planner.cpp
+++ b/Libraries/control/src/endpoint_planner.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/// Share of an endpoint's time that may be used; above it, the wait for the first event grows past the targets.
+/// Share of an endpoint's time that may be used; above it, the wait for the first event grows past the
+/// targets.
 constexpr double target_utilization = 0.75;
 /// The demand of this time decides, so that a short lull returns nothing.
 constexpr seconds demand_memory{12};
@@ -16,11 +17,11 @@
 constexpr seconds surplus_time{2};
 /// Load is measured for this time before endpoints are returned for the first time.
 constexpr seconds first_measurement{4};
-/// Before there is any load, as many reclaimable endpoints are ordered in each failure domain as this share of those
-/// that stand there, so that the on-demand ones can be returned as soon as the load is known.
+/// Before there is any load, as many reclaimable endpoints are ordered in each failure domain as this share
+/// of those that stand there, so that the on-demand ones can be returned as soon as the load is known.
 constexpr double first_reclaimable = 0.6;
-/// Share of the work of a failure domain that its on-demand endpoints can carry alone, when all reclaimable ones are
-/// taken at once and no others are to be had.
+/// Share of the work of a failure domain that its on-demand endpoints can carry alone, when all reclaimable
+/// ones are taken at once and no others are to be had.
 constexpr double on_demand_share = 0.6;
 /// The minimum of a failure domain is not filled with reclaimable endpoints for this time after a refusal.
 constexpr seconds refusal_memory{10};
@@ -92,7 +93,8 @@
     }
 }
 
-std::uint32_t endpoint_planner::starting(const offer& key, std::uint32_t serving_count, monotonic_time now) const
+std::uint32_t endpoint_planner::starting(const offer& key, std::uint32_t serving_count,
+                                         monotonic_time now) const
 {
     const auto order = m_orders.find(key);
     if (order == m_orders.end() || order->second.starts_until <= now)
@@ -131,8 +133,8 @@
         return orders;
     for (const auto& domain : situation.domains) {
         const auto room = situation.maximum - std::min(situation.maximum, domain.on_demand);
-        const auto count = std::min(
-            static_cast<std::uint32_t>(std::ceil(domain.on_demand * first_reclaimable)), room);
+        const auto count =
+            std::min(static_cast<std::uint32_t>(std::ceil(domain.on_demand * first_reclaimable)), room);
         if (domain.reclaimable < count && !m_orders.contains({domain.domain, instance_kind::reclaimable}))
             orders.push_back({domain.domain, instance_kind::reclaimable, count});
     }
@@ -180,7 +182,8 @@
         for (auto& entry : wanted)
             entry.count = std::max(entry.count, serving(find_domain(situation, entry.domain), entry.kind));
     }
-    // On-demand endpoints, which come first, are there for sure; reclaimable ones take the rest of the bounds.
+    // On-demand endpoints, which come first, are there for sure; reclaimable ones take the rest of the
+    // bounds.
     std::map<failure_domain_id, std::uint32_t> counted;
     for (const auto kind : {instance_kind::on_demand, instance_kind::reclaimable}) {
         for (auto& entry : wanted) {
@@ -188,7 +191,8 @@
                 continue;
             auto& sum = counted[entry.domain];
             entry.count = std::min(entry.count, situation.maximum - std::min(situation.maximum, sum));
-            const bool fills_minimum = (kind == instance_kind::reclaimable) == may_have_reclaimable(entry, now);
+            const bool fills_minimum =
+                (kind == instance_kind::reclaimable) == may_have_reclaimable(entry, now);
             if (fills_minimum && sum + entry.count < situation.minimum)
                 entry.count = situation.minimum - sum;
             sum += entry.count;
--- a/Libraries/deployment/include/siskinwharf/deployment/snapshot.h
+++ b/Libraries/deployment/include/siskinwharf/deployment/snapshot.h
@@ -139,8 +139,8 @@
     bool m_has_quotas = false;
 };
 
-/// The service that gets this request. `choice` is a hash of the request, so that a repeated request goes to the
-/// same service.
+/// The service that gets this request. `choice` is a hash of the request, so that a repeated request goes to
+/// the same service.
 [[nodiscard]] const service_id& choose_service(const route& from, std::uint64_t choice);
 
 } // namespace siskinwharf::deployment
--- a/Libraries/dispatch/include/siskinwharf/dispatch/account_quota.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/account_quota.h
@@ -34,15 +34,15 @@
     bool has_ended = false; ///< The peer has started again since; what it used before stays used.
 };
 
-/// What the other processes use of a quota. A peer goes on as it said; one that has missed its messages may be cut off
-/// while the traffic changes, and counts as an average one at least, so that the processes on both sides of a
-/// partition together stay within the limit.
+/// What the other processes use of a quota. A peer goes on as it said; one that has missed its messages may
+/// be cut off while the traffic changes, and counts as an average one at least, so that the processes on both
+/// sides of a partition together stay within the limit.
 [[nodiscard]] quota_use use_of_others(const quota_use& own, const std::vector<peer_use>& peers,
                                       const quota_limit& limit);
 
-/// Admits requests of one account so that all processes together stay within the limit. What is left of the limit, by
-/// this process's count and what the others say, is divided among the processes, and each spends its part no faster
-/// than it hears what the others spend.
+/// Admits requests of one account so that all processes together stay within the limit. What is left of the
+/// limit, by this process's count and what the others say, is divided among the processes, and each spends
+/// its part no faster than it hears what the others spend.
 class account_quota {
 public:
     account_quota(const quota_limit& limit, monotonic_time now)
--- a/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_board.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_board.h
@@ -17,10 +17,10 @@
     failure_domain_id domain; ///< Of this process.
     region_id region;
     milliseconds between_regions{60}; ///< Round trip; adds to the expected answer time.
-    /// Added to the expected answer time of an endpoint of another region when endpoints are compared, because
-    /// traffic between regions is billed by volume.
+    /// Added to the expected answer time of an endpoint of another region when endpoints are compared,
+    /// because traffic between regions is billed by volume.
     milliseconds region_preference{150};
-    milliseconds domain_preference{15}; ///< The same for another failure domain of the region.
+    milliseconds domain_preference{15};  ///< The same for another failure domain of the region.
     milliseconds failure_penalty{1'500}; ///< For an endpoint whose attempts all fail.
     milliseconds first_avoidance{500};   ///< After a broken connection; doubles with each further one.
     milliseconds longest_avoidance{4'000};
@@ -63,8 +63,8 @@
     bool has_first_event = false;
 };
 
-/// Decides which endpoint serves a request, from the list of endpoints, this process's own requests and what peers
-/// say about theirs. No I/O and no clock.
+/// Decides which endpoint serves a request, from the list of endpoints, this process's own requests and what
+/// peers say about theirs. No I/O and no clock.
 class endpoint_board {
 public:
     explicit endpoint_board(board_settings settings) : m_settings(std::move(settings)) {}
@@ -92,14 +92,17 @@
     [[nodiscard]] const endpoint_state* find(const endpoint_id& endpoint) const;
     /// Whether requests may be sent to this endpoint, so far as the list says.
     [[nodiscard]] bool is_listed(const endpoint_id& endpoint) const;
-    [[nodiscard]] const std::unordered_map<endpoint_id, endpoint_state>& endpoints() const { return m_endpoints; }
+    [[nodiscard]] const std::unordered_map<endpoint_id, endpoint_state>& endpoints() const
+    {
+        return m_endpoints;
+    }
 
 private:
     /// Moving averages of one service's endpoints.
     struct service_times {
         double tokens_per_ms = 50; ///< Prompt tokens that an engine reads, with everything that delays it.
         double unhindered_tokens_per_ms = 50; ///< The same of the faster attempts.
-        double answer_ms = 40;     ///< From the request to the whole answer.
+        double answer_ms = 40;                ///< From the request to the whole answer.
     };
 
     [[nodiscard]] double expected_ms(const endpoint_state& state, const deployment::service& wanted,
--- a/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_listing.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_listing.h
@@ -8,9 +8,9 @@
 
 namespace siskinwharf::dispatch {
 
-/// The list of endpoints as a process believes it. Entries lapse while the store is away although their endpoints
-/// serve on, so that an entry that is missing right after an outage is kept until its endpoint has had time to
-/// register again. Leaving endpoints are never kept that way.
+/// The list of endpoints as a process believes it. Entries lapse while the store is away although their
+/// endpoints serve on, so that an entry that is missing right after an outage is kept until its endpoint has
+/// had time to register again. Leaving endpoints are never kept that way.
 class endpoint_listing {
 public:
     /// Time in which endpoints register again after an outage of the store.
--- a/Libraries/dispatch/include/siskinwharf/dispatch/retry_allowance.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/retry_allowance.h
@@ -14,8 +14,8 @@
     double slack = 0; ///< Repeats that are always allowed, over all processes.
 };
 
-/// Keeps this process's repeats within its part of the bound: the ratio of its own requests and an equal part of the
-/// slack. The parts of all processes add up to the bound without any exchange.
+/// Keeps this process's repeats within its part of the bound: the ratio of its own requests and an equal part
+/// of the slack. The parts of all processes add up to the bound without any exchange.
 class retry_allowance {
 public:
     explicit retry_allowance(retry_bound bound) : m_bound(bound) {}
--- a/Libraries/dispatch/src/account_quota.cpp
+++ b/Libraries/dispatch/src/account_quota.cpp
@@ -14,8 +14,8 @@
 constexpr milliseconds longest_message_gap{1'200};
 /// Part of the tolerance that is used. The rest covers what processes admit before they hear of each other.
 constexpr double used_tolerance = 0.3;
-/// While the account has used less than this share of what is allowed, its requests are not rationed: it would take a
-/// sudden rise to many times the limit to exceed it before the processes hear of each other.
+/// While the account has used less than this share of what is allowed, its requests are not rationed: it
+/// would take a sudden rise to many times the limit to exceed it before the processes hear of each other.
 constexpr double free_share = 0.5;
 
 double seconds_between(monotonic_time from, monotonic_time until)
@@ -30,7 +30,9 @@
     quota_use heard;
     double processes = 0;
     const auto window_s = std::chrono::duration<double>(limit.window).count();
-    const auto is_heard = [](const peer_use& peer) { return !peer.has_ended && peer.age <= longest_message_gap; };
+    const auto is_heard = [](const peer_use& peer) {
+        return !peer.has_ended && peer.age <= longest_message_gap;
+    };
     for (const auto& peer : peers) {
         if (!is_heard(peer))
             continue;
@@ -118,8 +120,8 @@
 {
     const auto window_s = std::chrono::duration<double>(m_limit.window).count();
     refill(now);
-    // A process that has just started does not know what it admitted before: it begins with an equal share of the
-    // rate and without a burst.
+    // A process that has just started does not know what it admitted before: it begins with an equal share of
+    // the rate and without a burst.
     if (const auto age = seconds_between(m_started, now); age < window_s) {
         const auto allowed = m_limit.per_second * age + used_tolerance * m_limit.tolerance_amount;
         return admitted_since(m_started) <= allowed / static_cast<double>(m_processes);
--- a/Libraries/dispatch/src/endpoint_board.cpp
+++ b/Libraries/dispatch/src/endpoint_board.cpp
@@ -15,14 +15,14 @@
 constexpr double first_event_ms = 40;
 /// Weight of the newest sample in the moving averages.
 constexpr double sample_weight = 0.1;
-/// Weights of the moving average that follows the faster samples: delays, which are no loss of speed, prevail in the
-/// others.
+/// Weights of the moving average that follows the faster samples: delays, which are no loss of speed, prevail
+/// in the others.
 constexpr double faster_weight = 0.05;
 constexpr double slower_weight = 0.01;
 constexpr double slowest_tokens_per_ms = 2;
 constexpr double fastest_tokens_per_ms = 500;
-/// Share of the latency target that the expected time may take, less for less urgent requests, so that these are
-/// refused first.
+/// Share of the latency target that the expected time may take, less for less urgent requests, so that these
+/// are refused first.
 constexpr double budget_share = 0.95;
 constexpr double budget_step = 0.15;
 constexpr double lowest_budget_share = 0.5;
@@ -31,7 +31,8 @@
 constexpr milliseconds longest_retry{2'000};
 /// An endpoint that joins or restarts takes about this long.
 constexpr milliseconds retry_without_endpoint{700};
-/// Without an index of what others sent there, half of the shared parts are taken to be at the preferred endpoint.
+/// Without an index of what others sent there, half of the shared parts are taken to be at the preferred
+/// endpoint.
 constexpr std::uint64_t expected_cache_divisor = 2;
 constexpr std::uint64_t default_cache_tokens = 400'000;
 
@@ -120,7 +121,8 @@
     const auto capacity = wanted.engine->cache_tokens;
     const auto needed = state.held_tokens + work.prompt_tokens + work.answer_tokens;
     if (capacity > 0 && needed > capacity)
-        expected += times.answer_ms * static_cast<double>(needed - capacity) / static_cast<double>(capacity) + times.answer_ms / slots;
+        expected += times.answer_ms * static_cast<double>(needed - capacity) / static_cast<double>(capacity) +
+                    times.answer_ms / slots;
     return expected;
 }
 
@@ -175,8 +177,8 @@
         if (state == preferred && reading == work.prompt_tokens)
             reading -= std::min(reading, shared_tokens(work) / expected_cache_divisor);
         const auto expected = expected_ms(*state, wanted, work, reading);
-        const auto penalty = (state->failure_share - lowest_failure) *
-                             static_cast<double>(m_settings.failure_penalty.count());
+        const auto penalty =
+            (state->failure_share - lowest_failure) * static_cast<double>(m_settings.failure_penalty.count());
         // A fraction of a millisecond spreads requests over equal endpoints by their number of requests.
         const auto spread = static_cast<double>(state->running + state->peers_running) * 0.5;
         const auto cost = expected + penalty + preference_ms(*state) + spread;
@@ -193,8 +195,8 @@
     const bool has_work = best->running + best->peers_running > 0;
     if (budget.count() > 0 && has_work && best_expected > limit) {
         const milliseconds excess(static_cast<std::int64_t>(best_expected - limit));
-        return placement_refusal{refusal_reason::overloaded, std::clamp(excess, shortest_retry, longest_retry),
-                                 expected};
+        return placement_refusal{refusal_reason::overloaded,
+                                 std::clamp(excess, shortest_retry, longest_retry), expected};
     }
     return placement{best->record, expected, candidates.size()};
 }
@@ -234,7 +236,8 @@
     if (found != m_endpoints.end() && found->second.record.started_ms == ticket.started_ms)
         found->second.waiting_tokens -= std::min(found->second.waiting_tokens, ticket.reading_tokens);
     const auto tokens = static_cast<double>(ticket.reading_tokens + ticket.tokens_ahead);
-    const auto waited = std::chrono::duration<double, std::milli>(now - ticket.started).count() - first_event_ms;
+    const auto waited =
+        std::chrono::duration<double, std::milli>(now - ticket.started).count() - first_event_ms;
     // Short prompts say little about the speed: the fixed part of their time prevails.
     constexpr double fewest_tokens = 3'000;
     if (tokens < fewest_tokens || waited <= 0)
--- a/Libraries/dispatch/src/retry_allowance.cpp
+++ b/Libraries/dispatch/src/retry_allowance.cpp
@@ -7,7 +7,8 @@
 namespace {
 
 constexpr milliseconds slice_length{500};
-/// Part of the bound that is used. The rest covers requests that are counted in another window than their repeats.
+/// Part of the bound that is used. The rest covers requests that are counted in another window than their
+/// repeats.
 constexpr double used_share = 0.6;
 
 } // namespace
--- a/Libraries/dispatch/tests/quota_test.cpp
+++ b/Libraries/dispatch/tests/quota_test.cpp
@@ -14,7 +14,8 @@
 /// What the operators' bound leaves above the limit.
 constexpr double tolerance = 1.1;
 
-/// Several processes that tell each other their use after a delay, under a load of `offered` tokens a second each.
+/// Several processes that tell each other their use after a delay, under a load of `offered` tokens a second
+/// each.
 struct fleet {
     explicit fleet(std::size_t size, monotonic_time start) : quotas(size, account_quota(limit, start))
     {
@@ -36,7 +37,8 @@
         return taken;
     }
 
-    /// Processes from `boundary` on are cut off from the others; what was said across the cut stays as it was.
+    /// Processes from `boundary` on are cut off from the others; what was said across the cut stays as it
+    /// was.
     void exchange(monotonic_time now, std::size_t boundary = 0)
     {
         if (said.empty())
--- a/Libraries/exchange/include/siskinwharf/exchange/process_state.h
+++ b/Libraries/exchange/include/siskinwharf/exchange/process_state.h
@@ -31,8 +31,8 @@
     auto operator<=>(const service_demand&) const = default;
 };
 
-/// What a forwarding process tells its peers several times a second, in one datagram. Every part replaces what the
-/// same process said before, so that lost datagrams need no repetition.
+/// What a forwarding process tells its peers several times a second, in one datagram. Every part replaces
+/// what the same process said before, so that lost datagrams need no repetition.
 struct process_state {
     instance_id process;
     std::uint64_t start = 0;    ///< Random number of the process's start.
--- a/Libraries/exchange/src/process_state.cpp
+++ b/Libraries/exchange/src/process_state.cpp
@@ -101,8 +101,8 @@
     result.lease_number = to_unsigned(value.lease_number);
     result.domain = failure_domain_id(value.failure_domain);
     for (const auto& load : value.loads)
-        result.loads.push_back({endpoint_id(load.endpoint), to_count(load.running),
-                                to_amount(load.waiting_tokens)});
+        result.loads.push_back(
+            {endpoint_id(load.endpoint), to_count(load.running), to_amount(load.waiting_tokens)});
     for (const auto& use : value.accounts)
         result.accounts.push_back(
             {account_id(use.account), to_amount(use.in_window), to_amount(use.per_second)});
@@ -113,11 +113,11 @@
         result.usage.push_back(std::move(usage));
     }
     for (const auto& service : value.services)
-        result.services.push_back({service_id(service.name),
-                                   to_amount(service.tokens_per_second),
-                                   to_count(service.running)});
+        result.services.push_back(
+            {service_id(service.name), to_amount(service.tokens_per_second), to_count(service.running)});
     for (const auto& record : value.crashes) {
-        admission::quarantine_record entry{{account_id(record.account), record.digest}, {}, milliseconds(record.remaining_ms)};
+        admission::quarantine_record entry{
+            {account_id(record.account), record.digest}, {}, milliseconds(record.remaining_ms)};
         for (const auto crash : record.crashes)
             entry.crashes.insert(to_unsigned(crash));
         result.crashes.push_back(std::move(entry));
--- a/Libraries/forwarding/include/siskinwharf/forwarding/call.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/call.h
@@ -19,7 +19,7 @@
     std::optional<std::string> key; ///< API key.
     std::optional<milliseconds> deadline;
     std::optional<std::string> resume_after; ///< Event id after which a stream is to go on.
-    bool names_tokens = false; ///< `work` has the tokens that the caller stated.
+    bool names_tokens = false;               ///< `work` has the tokens that the caller stated.
     dispatch::workload work;
 };
 
@@ -50,8 +50,8 @@
     virtual ~call_codec() = default;
 
     [[nodiscard]] virtual call decode(http::request message) const = 0;
-    /// The request for an endpoint: the caller's without what concerns its connection, its key, and the headers that
-    /// only the system sets.
+    /// The request for an endpoint: the caller's without what concerns its connection, its key, and the
+    /// headers that only the system sets.
     [[nodiscard]] virtual http::request encode(const call& from, const endpoint_order& order) const = 0;
     [[nodiscard]] virtual answer_facts inspect(int status,
                                                const std::vector<http::header_field>& headers) const = 0;
--- a/Libraries/forwarding/include/siskinwharf/forwarding/deployment_store.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/deployment_store.h
@@ -80,8 +80,10 @@
     virtual boost::asio::awaitable<void> register_process(registered_process self) = 0;
 
     /// Throws `invalid_entry`.
-    [[nodiscard]] virtual deployment::snapshot_content decode_configuration(const std::string& text) const = 0;
-    [[nodiscard]] virtual stored_endpoint decode_endpoint(const endpoint_id& id, const std::string& text) const = 0;
+    [[nodiscard]] virtual deployment::snapshot_content
+    decode_configuration(const std::string& text) const = 0;
+    [[nodiscard]] virtual stored_endpoint decode_endpoint(const endpoint_id& id,
+                                                          const std::string& text) const = 0;
 };
 
 } // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/include/siskinwharf/forwarding/deployment_watch.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/deployment_watch.h
@@ -16,8 +16,8 @@
 
 namespace siskinwharf::forwarding {
 
-/// Keeps the configuration and the list of endpoints up to date: from the store, and from peers while the store does
-/// not answer this process.
+/// Keeps the configuration and the list of endpoints up to date: from the store, and from peers while the
+/// store does not answer this process.
 class deployment_watch {
 public:
     deployment_watch(boost::asio::io_context& context, deployment_store& store, http::client& client,
--- a/Libraries/forwarding/include/siskinwharf/forwarding/duty_platform.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/duty_platform.h
@@ -58,7 +58,8 @@
 
     virtual boost::asio::awaitable<duty_result> report_usage(duty_holder holder, usage::window_number window,
                                                              usage::window_counts counts) = 0;
-    virtual boost::asio::awaitable<duty_result> order_endpoints(duty_holder holder, endpoint_target target) = 0;
+    virtual boost::asio::awaitable<duty_result> order_endpoints(duty_holder holder,
+                                                                endpoint_target target) = 0;
 };
 
 } // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/include/siskinwharf/forwarding/duty_runner.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/duty_runner.h
@@ -18,8 +18,8 @@
 
 namespace siskinwharf::forwarding {
 
-/// The calls to the platform that one process makes for all: usage reports and orders of endpoints. All processes
-/// compete for one lease in the store.
+/// The calls to the platform that one process makes for all: usage reports and orders of endpoints. All
+/// processes compete for one lease in the store.
 class duty_runner {
 public:
     duty_runner(boost::asio::io_context& context, const process_settings& settings, cloud::table_store& store,
--- a/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
@@ -6,9 +6,9 @@
 #include <optional>
 #include <vector>
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/awaitable.hpp>
 
 #include "siskinwharf/exchange/process_state.h"
 #include "siskinwharf/forwarding/deployment_store.h"
@@ -24,8 +24,8 @@
     std::uint64_t list_version = 0;
 };
 
-/// Sends this process's state to all known peers several times a second and keeps theirs. Peers are known from the
-/// store, from the seeds and from their own messages.
+/// Sends this process's state to all known peers several times a second and keeps theirs. Peers are known
+/// from the store, from the seeds and from their own messages.
 class peer_exchange {
 public:
     peer_exchange(boost::asio::io_context& context, const process_settings& settings, traffic_state& state,
@@ -43,7 +43,8 @@
     /// The peer that knows the newest configuration or list, if it is newer than what this process has.
     [[nodiscard]] std::optional<newer_peer> find_newer() const;
     /// Work of a service in each failure domain, over all processes that are heard.
-    [[nodiscard]] std::map<failure_domain_id, exchange::service_demand> demand_of(const service_id& service) const;
+    [[nodiscard]] std::map<failure_domain_id, exchange::service_demand>
+    demand_of(const service_id& service) const;
     [[nodiscard]] std::size_t heard_peers() const;
 
 private:
--- a/Libraries/forwarding/include/siskinwharf/forwarding/process_settings.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/process_settings.h
@@ -14,16 +14,16 @@
 
 /// Bounds that the operators promise or demand.
 struct service_bounds {
-    milliseconds stop_time{8'000};        ///< From the request to stop until the process is killed.
-    double retry_ratio = 0.2;             ///< Repeats for each request of a service.
+    milliseconds stop_time{8'000}; ///< From the request to stop until the process is killed.
+    double retry_ratio = 0.2;      ///< Repeats for each request of a service.
     seconds retry_window{10};
-    double retry_slack = 0;               ///< Repeats that are always allowed, over all processes.
+    double retry_slack = 0; ///< Repeats that are always allowed, over all processes.
     milliseconds quota_window{8'000};
-    double quota_overage = 0; ///< Share of a quota by which all processes together may exceed it.
-    double quota_slack = 0;   ///< The same as an amount.
-    milliseconds lease{3'000};            ///< Within which duties must not go back to a former holder.
+    double quota_overage = 0;  ///< Share of a quota by which all processes together may exceed it.
+    double quota_slack = 0;    ///< The same as an amount.
+    milliseconds lease{3'000}; ///< Within which duties must not go back to a former holder.
     milliseconds usage_window{5'000};
-    milliseconds usage_due{10'000};       ///< From the end of a window until its report is due.
+    milliseconds usage_due{10'000}; ///< From the end of a window until its report is due.
 
     auto operator<=>(const service_bounds&) const = default;
 };
--- a/Libraries/forwarding/include/siskinwharf/forwarding/request_runner.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/request_runner.h
@@ -11,13 +11,17 @@
 
 namespace siskinwharf::forwarding {
 
-/// Serves callers' requests: finds the route and the account, has an endpoint chosen, forwards, repeats or resumes
-/// where that is allowed, and answers.
+/// Serves callers' requests: finds the route and the account, has an endpoint chosen, forwards, repeats or
+/// resumes where that is allowed, and answers.
 class request_runner {
 public:
     request_runner(boost::asio::any_io_executor executor, traffic_state& state, const call_codec& codec,
                    http::client& client, telemetry::metrics_registry& metrics)
-        : m_executor(std::move(executor)), m_state(state), m_codec(codec), m_client(client), m_metrics(metrics)
+        : m_executor(std::move(executor)),
+          m_state(state),
+          m_codec(codec),
+          m_client(client),
+          m_metrics(metrics)
     {
     }
 
--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -24,11 +24,12 @@
     bool has_ended = false; ///< The message of a former start of the peer.
 };
 
-/// What a forwarding process knows and has counted. Decides on quotas, placement and repeats; no I/O. Used from one
-/// thread.
+/// What a forwarding process knows and has counted. Decides on quotas, placement and repeats; no I/O. Used
+/// from one thread.
 class traffic_state {
 public:
-    traffic_state(const process_settings& settings, std::uint64_t start, usage::wall_time wall, monotonic_time now);
+    traffic_state(const process_settings& settings, std::uint64_t start, usage::wall_time wall,
+                  monotonic_time now);
 
     /// Takes a configuration into force. Returns false if a newer one, or this one, is in force already.
     bool set_configuration(deployment::snapshot_content content, monotonic_time now);
@@ -38,7 +39,10 @@
     /// Recomputes what depends on all peers that may serve.
     void set_peers(const std::vector<peer_view>& peers, monotonic_time now);
 
-    [[nodiscard]] const std::shared_ptr<const deployment::snapshot>& configuration() const { return m_snapshot; }
+    [[nodiscard]] const std::shared_ptr<const deployment::snapshot>& configuration() const
+    {
+        return m_snapshot;
+    }
     [[nodiscard]] bool is_ready() const { return m_snapshot != nullptr && m_has_endpoints; }
     [[nodiscard]] dispatch::endpoint_board& board() { return m_board; }
     [[nodiscard]] const dispatch::endpoint_board& board() const { return m_board; }
--- a/Libraries/forwarding/src/crash_check.cpp
+++ b/Libraries/forwarding/src/crash_check.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-/// A crashed endpoint refuses connections from its end on; a reset connection to a sound one can be opened again.
+/// A crashed endpoint refuses connections from its end on; a reset connection to a sound one can be opened
+/// again.
 constexpr milliseconds check_delay{100};
 
 } // namespace
@@ -38,7 +39,8 @@
     const auto status = state.quarantine().on_crash(content, crash, std::chrono::steady_clock::now());
     log_event(event::endpoint_dead, {{"endpoint", endpoint.id.value()}, {"digest", content.digest}});
     if (status == admission::content_status::quarantined)
-        log_event(event::request_quarantined, {{"account", content.account.value()}, {"digest", content.digest}});
+        log_event(event::request_quarantined,
+                  {{"account", content.account.value()}, {"digest", content.digest}});
 }
 
 } // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/src/crash_check.h
+++ b/Libraries/forwarding/src/crash_check.h
@@ -9,9 +9,10 @@
 
 namespace siskinwharf::forwarding {
 
-/// After a connection broke while an endpoint ran a request: finds out whether the endpoint has crashed, and if so
-/// counts the crash against the request.
+/// After a connection broke while an endpoint ran a request: finds out whether the endpoint has crashed, and
+/// if so counts the crash against the request.
 boost::asio::awaitable<void> check_for_crash(boost::asio::any_io_executor executor, traffic_state& state,
-                                             dispatch::endpoint_record endpoint, admission::content_key content);
+                                             dispatch::endpoint_record endpoint,
+                                             admission::content_key content);
 
 } // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/src/deployment_watch.cpp
+++ b/Libraries/forwarding/src/deployment_watch.cpp
@@ -103,7 +103,8 @@
         } catch (const store_unavailable& error) {
             failed = true;
             if (!std::exchange(m_is_configuration_lost, true))
-                log_event(event::platform_unavailable, {{"service", "configuration"}, {"reason", error.what()}});
+                log_event(event::platform_unavailable,
+                          {{"service", "configuration"}, {"reason", error.what()}});
         }
         if (failed)
             co_await pause(retry_pause);
@@ -221,7 +222,8 @@
     for (const auto& [id, known] : m_state.board().endpoints()) {
         const bool stays = std::ranges::any_of(records, [&](const auto& record) { return record.id == id; });
         if (!stays) {
-            log_event(event::endpoint_gone, {{"endpoint", id.value()}, {"list", std::to_string(m_list_version)}});
+            log_event(event::endpoint_gone,
+                      {{"endpoint", id.value()}, {"list", std::to_string(m_list_version)}});
             m_client.forget({known.record.ip, known.record.port});
         }
     }
@@ -276,7 +278,8 @@
         return log_event(event::peer_message_rejected, {{"reason", "the state is no JSON object"}});
     try {
         const auto& state = parsed.as_object();
-        if (const auto& text = state.at("configuration").as_string(); m_is_configuration_lost && !text.empty())
+        if (const auto& text = state.at("configuration").as_string();
+            m_is_configuration_lost && !text.empty())
             take_configuration(std::string(text), "peer");
         endpoint_changes changes;
         changes.version = state.at("list_version").to_number<std::uint64_t>();
@@ -284,7 +287,8 @@
             return;
         for (const auto& entry : state.at("endpoints").as_array()) {
             const endpoint_id id{std::string(entry.at("id").as_string())};
-            changes.endpoints.push_back(m_store.decode_endpoint(id, std::string(entry.at("text").as_string())));
+            changes.endpoints.push_back(
+                m_store.decode_endpoint(id, std::string(entry.at("text").as_string())));
         }
         take_endpoints(changes, list_source::peer_list);
     } catch (const std::exception& failure) {
--- a/Libraries/forwarding/src/duty_runner.cpp
+++ b/Libraries/forwarding/src/duty_runner.cpp
@@ -24,7 +24,8 @@
 constexpr milliseconds call_time{800};
 constexpr milliseconds order_period{1'000};
 constexpr double milliseconds_in_second = 1'000;
-/// Share of an engine's time that its running streams take when all of its slots are used; the rest reads prompts.
+/// Share of an engine's time that its running streams take when all of its slots are used; the rest reads
+/// prompts.
 constexpr double writing_weight = 0.2;
 /// Actions on reports in one step, so that the lease is renewed in between.
 constexpr int reports_in_a_step = 4;
@@ -32,7 +33,8 @@
 control::lease_settings lease_settings_of(const process_settings& settings)
 {
     control::lease_settings result;
-    // Nobody may act between two calls of another holder within the bound, so that a lease lasts at least as long.
+    // Nobody may act between two calls of another holder within the bound, so that a lease lasts at least as
+    // long.
     result.duration = settings.bounds.lease;
     result.renew_after = result.duration / 3;
     result.poll_every = result.duration / 3;
@@ -43,8 +45,9 @@
 
 } // namespace
 
-duty_runner::duty_runner(asio::io_context& context, const process_settings& settings, cloud::table_store& store,
-                         duty_platform& platform, traffic_state& state, peer_exchange& peers, std::uint64_t start)
+duty_runner::duty_runner(asio::io_context& context, const process_settings& settings,
+                         cloud::table_store& store, duty_platform& platform, traffic_state& state,
+                         peer_exchange& peers, std::uint64_t start)
     : m_context(context),
       m_settings(settings),
       m_store(store),
@@ -53,7 +56,8 @@
       m_peers(peers),
       m_lease(failure_domain_id("duties"), fmt::format("{}#{:x}", settings.instance.value(), start),
               lease_settings_of(settings)),
-      m_reports(usage::report_times{settings.bounds.usage_window, settings.bounds.usage_due, milliseconds(2'000)})
+      m_reports(
+          usage::report_times{settings.bounds.usage_window, settings.bounds.usage_due, milliseconds(2'000)})
 {
 }
 
@@ -155,7 +159,8 @@
             m_reports.read(read->window, result);
         } else if (auto* send = std::get_if<usage::send_report>(&*action)) {
             const auto text = usage::encode(send->counts);
-            const auto result = co_await m_platform.report_usage(holder(), send->window, std::move(send->counts));
+            const auto result =
+                co_await m_platform.report_usage(holder(), send->window, std::move(send->counts));
             m_reports.sent(send->window, result != duty_result::unavailable);
             log_event(event::usage_reported, {{"window", std::to_string(send->window)},
                                               {"counts", text},
--- a/Libraries/forwarding/src/event_splitter.h
+++ b/Libraries/forwarding/src/event_splitter.h
@@ -7,8 +7,8 @@
 
 namespace siskinwharf::forwarding {
 
-/// Cuts a stream of server-sent events into whole events, so that an event that broke off is never passed on, and
-/// drops the events that a resumed stream repeats.
+/// Cuts a stream of server-sent events into whole events, so that an event that broke off is never passed on,
+/// and drops the events that a resumed stream repeats.
 class event_splitter {
 public:
     /// Adds bytes and returns the whole events among them that are new.
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -151,8 +151,8 @@
         const auto end = co_await attempt();
         if (!end)
             co_return;
-        const bool is_over =
-            *end == attempt_end::delivered || *end == attempt_end::aborted || *end == attempt_end::caller_gone;
+        const bool is_over = *end == attempt_end::delivered || *end == attempt_end::aborted ||
+                             *end == attempt_end::caller_gone;
         if (is_over || !may_try_again(*end)) {
             if (!is_over)
                 co_await answer_failure(*end);
@@ -184,25 +184,26 @@
     m_tried.push_back(endpoint.id);
     auto ticket = m_state.board().start(*m_service, endpoint.id, m_call.work, now);
     m_state.count_work(m_service->id, ticket.reading_tokens, now);
-    log_event(event::request_placed, {{"request", m_call.id.value()},
-                                      {"endpoint", endpoint.id.value()},
-                                      {"service", m_service->id.value()},
-                                      {"account", m_account == nullptr ? "" : m_account->id.value()},
-                                      {"tokens", std::to_string(m_call.work.prompt_tokens + m_call.work.answer_tokens)},
-                                      {"running", std::to_string(ticket.running_before)},
-                                      {"tokens_ahead", std::to_string(ticket.tokens_ahead)},
-                                      {"expected_ms", std::to_string(chosen.expected.count())},
-                                      {"candidates", std::to_string(chosen.candidates)},
-                                      {"attempt", std::to_string(m_tried.size())}});
+    log_event(event::request_placed,
+              {{"request", m_call.id.value()},
+               {"endpoint", endpoint.id.value()},
+               {"service", m_service->id.value()},
+               {"account", m_account == nullptr ? "" : m_account->id.value()},
+               {"tokens", std::to_string(m_call.work.prompt_tokens + m_call.work.answer_tokens)},
+               {"running", std::to_string(ticket.running_before)},
+               {"tokens_ahead", std::to_string(ticket.tokens_ahead)},
+               {"expected_ms", std::to_string(chosen.expected.count())},
+               {"candidates", std::to_string(chosen.candidates)},
+               {"attempt", std::to_string(m_tried.size())}});
     const auto end = co_await send(endpoint, ticket, chosen.expected);
     log_event(event::attempt_ended,
               {{"request", m_call.id.value()},
                {"endpoint", endpoint.id.value()},
                {"outcome", std::string(to_string(end))},
                {"events", std::to_string(m_events.events())},
-               {"taken_ms", std::to_string(duration_cast<milliseconds>(std::chrono::steady_clock::now() -
-                                                                       m_started)
-                                               .count())}});
+               {"taken_ms",
+                std::to_string(
+                    duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_started).count())}});
     co_return end;
 }
 
@@ -237,9 +238,9 @@
             end = attempt_end::caller_gone;
         else if (const auto left = time_left(); left && left->count() <= 1 && end == attempt_end::failed)
             end = attempt_end::timed_out;
-        log_event(event::attempt_broken, {{"request", m_call.id.value()},
-                                          {"endpoint", endpoint.id.value()},
-                                          {"reason", error.what()}});
+        log_event(
+            event::attempt_broken,
+            {{"request", m_call.id.value()}, {"endpoint", endpoint.id.value()}, {"reason", error.what()}});
     } catch (const http::caller_disconnected&) {
         m_is_gone = true;
         end = attempt_end::caller_gone;
@@ -296,8 +297,8 @@
     count_run();
     if (m_writer.started())
         throw http::call_error(http::call_stage::after_header, "an answer instead of the rest of a stream");
-    const bool can_repeat = whole.status >= first_server_error && is_repeatable() &&
-                            m_sent < m_route->maximum_endpoints;
+    const bool can_repeat =
+        whole.status >= first_server_error && is_repeatable() && m_sent < m_route->maximum_endpoints;
     if (can_repeat && time_left().value_or(longest_request) > shortest_attempt &&
         m_state.try_repeat(m_service->id, std::chrono::steady_clock::now())) {
         m_may_have_run = true;
@@ -366,7 +367,8 @@
 asio::awaitable<void> forwarded_request::answer_failure(attempt_end end)
 {
     if (m_writer.started()) {
-        log_event(event::stream_cut, {{"request", m_call.id.value()}, {"outcome", std::string(to_string(end))}});
+        log_event(event::stream_cut,
+                  {{"request", m_call.id.value()}, {"outcome", std::string(to_string(end))}});
         m_writer.abort();
         co_return;
     }
@@ -385,14 +387,15 @@
 {
     if (reason.result == outcome::not_run && m_account != nullptr && m_quota_taken > 0)
         m_state.give_back_quota(*m_account, m_quota_taken, std::chrono::steady_clock::now());
-    log_event(event::request_refused,
-              {{"request", m_call.id.value()},
-               {"route", m_route == nullptr ? "" : m_route->name},
-               {"reason", std::string(to_string(reason.type))},
-               {"detail", reason.message},
-               {"outcome", std::string(to_string(reason.result))},
-               {"configuration", std::to_string(m_snapshot ? m_snapshot->version() : 0)},
-               {"retry_after_ms", reason.retry_after ? std::to_string(reason.retry_after->count()) : "none"}});
+    log_event(
+        event::request_refused,
+        {{"request", m_call.id.value()},
+         {"route", m_route == nullptr ? "" : m_route->name},
+         {"reason", std::string(to_string(reason.type))},
+         {"detail", reason.message},
+         {"outcome", std::string(to_string(reason.result))},
+         {"configuration", std::to_string(m_snapshot ? m_snapshot->version() : 0)},
+         {"retry_after_ms", reason.retry_after ? std::to_string(reason.retry_after->count()) : "none"}});
     m_metrics
         .find_counter("siskinwharf_refusals_total", "Refused requests by reason.",
                       {{"reason", std::string(to_string(reason.type))}})
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -50,7 +50,8 @@
     boost::asio::awaitable<attempt_end> send(const dispatch::endpoint_record& endpoint,
                                              dispatch::attempt_ticket& ticket, milliseconds expected);
     boost::asio::awaitable<attempt_end> receive(http::part_stream& answer, dispatch::attempt_ticket& ticket);
-    boost::asio::awaitable<attempt_end> relay_whole(http::part_stream& answer, dispatch::attempt_ticket& ticket);
+    boost::asio::awaitable<attempt_end> relay_whole(http::part_stream& answer,
+                                                    dispatch::attempt_ticket& ticket);
     boost::asio::awaitable<attempt_end> relay_events(http::part_stream& answer,
                                                      dispatch::attempt_ticket& ticket);
     boost::asio::awaitable<void> pass_on(http::part_stream& answer, std::string events);
@@ -84,8 +85,8 @@
     const deployment::service* m_service = nullptr;
     double m_quota_taken = 0;
     std::vector<endpoint_id> m_tried;
-    std::size_t m_sent = 0;          ///< Attempts that reached an endpoint.
-    std::size_t m_unreachable = 0;   ///< Attempts without a connection.
+    std::size_t m_sent = 0;        ///< Attempts that reached an endpoint.
+    std::size_t m_unreachable = 0; ///< Attempts without a connection.
     bool m_may_have_run = false;
     bool m_has_repeat = false; ///< A repeat is already taken from the budget.
     bool m_is_counted = false;
--- a/Libraries/forwarding/src/peer_exchange.cpp
+++ b/Libraries/forwarding/src/peer_exchange.cpp
@@ -32,8 +32,8 @@
 
 } // namespace
 
-peer_exchange::peer_exchange(asio::io_context& context, const process_settings& settings, traffic_state& state,
-                             std::uint64_t start)
+peer_exchange::peer_exchange(asio::io_context& context, const process_settings& settings,
+                             traffic_state& state, std::uint64_t start)
     : m_settings(settings),
       m_state(state),
       m_context(context),
@@ -119,8 +119,8 @@
             send(entry.address);
     }
     for (const auto& seed : m_seeds) {
-        const bool is_known = std::ranges::any_of(
-            m_peers, [&](const auto& item) { return item.second.address.ip == seed.ip; });
+        const bool is_known =
+            std::ranges::any_of(m_peers, [&](const auto& item) { return item.second.address.ip == seed.ip; });
         if (!is_known && seed.ip != m_settings.peers.ip && m_round % other_region_rounds == 0)
             send(seed);
     }
@@ -171,8 +171,8 @@
         if (state.process == m_settings.instance)
             return;
         auto& entry = m_peers[state.process];
-        const bool is_older = entry.state && entry.state->start == state.start &&
-                              entry.state->sequence >= state.sequence;
+        const bool is_older =
+            entry.state && entry.state->start == state.start && entry.state->sequence >= state.sequence;
         if (is_older)
             return;
         if (entry.state && entry.state->start != state.start) {
@@ -245,9 +245,8 @@
 std::size_t peer_exchange::heard_peers() const
 {
     const auto now = std::chrono::steady_clock::now();
-    return static_cast<std::size_t>(std::ranges::count_if(m_peers, [&](const auto& item) {
-        return condition_of(item.second, now) == peer_condition::heard;
-    }));
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_peers, [&](const auto& item) { return condition_of(item.second, now) == peer_condition::heard; }));
 }
 
 } // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -48,7 +48,8 @@
     if (m_snapshot && content.version <= m_snapshot->version())
         return false;
     m_snapshot = std::make_shared<const deployment::snapshot>(std::move(content));
-    std::erase_if(m_quotas, [this](const auto& item) { return m_snapshot->find_account(item.first) == nullptr; });
+    std::erase_if(m_quotas,
+                  [this](const auto& item) { return m_snapshot->find_account(item.first) == nullptr; });
     for (const auto& account : m_snapshot->content().accounts) {
         const dispatch::quota_limit limit{account.quota_per_second, account.quota_burst,
                                           m_settings.bounds.quota_window, m_settings.bounds.quota_overage,
@@ -88,7 +89,8 @@
     for (auto& [account, quota] : m_quotas) {
         std::vector<dispatch::peer_use> uses;
         for (const auto& peer : peers)
-            uses.push_back({peer.state == nullptr ? dispatch::quota_use{} : use_of(*peer.state, account), peer.age, peer.has_ended});
+            uses.push_back({peer.state == nullptr ? dispatch::quota_use{} : use_of(*peer.state, account),
+                            peer.age, peer.has_ended});
         quota.set_others(dispatch::use_of_others(quota.use(now), uses, quota.limit()), m_processes, now);
     }
     m_quarantine.expire(now);
@@ -121,7 +123,8 @@
     const auto& bounds = m_settings.bounds;
     const dispatch::retry_bound bound{bounds.retry_ratio, bounds.retry_window, bounds.retry_slack};
     return m_services
-        .try_emplace(service, service_traffic{dispatch::retry_allowance(bound), dispatch::account_quota({}, now)})
+        .try_emplace(service,
+                     service_traffic{dispatch::retry_allowance(bound), dispatch::account_quota({}, now)})
         .first->second;
 }
 
@@ -155,7 +158,8 @@
 {
     exchange::service_demand result{service, 0, 0};
     if (const auto found = m_services.find(service); found != m_services.end())
-        result.tokens_per_second = static_cast<std::uint64_t>(std::llround(found->second.tokens.average(demand_span, now)));
+        result.tokens_per_second =
+            static_cast<std::uint64_t>(std::llround(found->second.tokens.average(demand_span, now)));
     for (const auto& [id, state] : m_board.endpoints()) {
         if (state.record.service == service)
             result.running += state.running;
@@ -171,8 +175,9 @@
     for (const auto& [account, quota] : m_quotas) {
         const auto use = quota.use(now);
         if (use.in_window > 0)
-            state.accounts.push_back({account, static_cast<std::uint64_t>(std::llround(use.in_window)),
-                                      static_cast<std::uint64_t>(std::llround(std::max(use.per_second, 0.0)))});
+            state.accounts.push_back(
+                {account, static_cast<std::uint64_t>(std::llround(use.in_window)),
+                 static_cast<std::uint64_t>(std::llround(std::max(use.per_second, 0.0)))});
     }
     state.usage = m_ledger.own_entries(current_window(now) - repeated_windows);
     for (const auto& [service, traffic] : m_services)
--- a/Libraries/http/include/siskinwharf/http/client.h
+++ b/Libraries/http/include/siskinwharf/http/client.h
@@ -46,8 +46,8 @@
 
     [[nodiscard]] virtual int status() const = 0;
     [[nodiscard]] virtual std::vector<header_field> headers() const = 0;
-    /// Returns what has arrived of the body, without its transfer coding, or an empty string at its end. Throws
-    /// `call_error` if the body ends early or nothing arrives in time.
+    /// Returns what has arrived of the body, without its transfer coding, or an empty string at its end.
+    /// Throws `call_error` if the body ends early or nothing arrives in time.
     virtual boost::asio::awaitable<std::string> next_part(milliseconds timeout) = 0;
 };
 
@@ -98,11 +98,10 @@
     boost::asio::awaitable<std::unique_ptr<line_stream>> open(address target, request message,
                                                               milliseconds header_timeout);
 
-    /// Like `open`, for a response in parts. A `Host` header of the message is kept. Sends the request at most once,
-    /// on a kept connection if there is one.
-    boost::asio::awaitable<std::unique_ptr<part_stream>> open_parts(address target, request message,
-                                                                    call_times times,
-                                                                    std::shared_ptr<call_control> control);
+    /// Like `open`, for a response in parts. A `Host` header of the message is kept. Sends the request at
+    /// most once, on a kept connection if there is one.
+    boost::asio::awaitable<std::unique_ptr<part_stream>>
+    open_parts(address target, request message, call_times times, std::shared_ptr<call_control> control);
 
     /// Closes the kept connections to this address.
     void forget(const address& target);
--- a/Libraries/http/src/connection.h
+++ b/Libraries/http/src/connection.h
@@ -233,7 +233,8 @@
         error)
         co_return read_outcome{.message = {}, .reason = refusal_of(error, timer->expired())};
     if (!is_clearly_framed(parser.get()))
-        co_return read_outcome{.message = {}, .reason = refusal{refusal_type::malformed, "ambiguous framing"}};
+        co_return read_outcome{.message = {},
+                               .reason = refusal{refusal_type::malformed, "ambiguous framing"}};
     if (beast::iequals(parser.get()[beast::http::field::expect], "100-continue")) {
         beast::http::response<beast::http::empty_body> go_on(beast::http::status::continue_, 11);
         co_await beast::http::async_write(stream, go_on, use_tuple);
--- a/Libraries/http/src/connection_pool.cpp
+++ b/Libraries/http/src/connection_pool.cpp
@@ -29,7 +29,7 @@
 connection_pool::connection_pool(asio::any_io_executor executor) : m_executor(std::move(executor)) {}
 
 asio::awaitable<connection_pointer> connection_pool::connect(address target, bool may_reuse,
-                                                              milliseconds timeout)
+                                                             milliseconds timeout)
 {
     auto& kept = m_kept[target];
     while (may_reuse && !kept.empty()) {
--- a/Libraries/http/src/connection_pool.h
+++ b/Libraries/http/src/connection_pool.h
@@ -40,7 +40,8 @@
     void forget(const address& target) { m_kept.erase(target); }
     [[nodiscard]] std::uint64_t opened() const { return m_opened; }
 
-    /// Endpoints are in the same failure domain or one slow link away; a connect that takes longer has failed.
+    /// Endpoints are in the same failure domain or one slow link away; a connect that takes longer has
+    /// failed.
     static constexpr milliseconds default_connect_timeout{2'000};
     /// Servers close idle connections after some seconds; one that is about to be closed must not be used.
     static constexpr milliseconds default_lifetime{60'000};
--- a/Libraries/http/src/part_stream.cpp
+++ b/Libraries/http/src/part_stream.cpp
@@ -138,7 +138,8 @@
     void finish()
     {
         m_control->set_close(nullptr);
-        // A server that answers before it has read the whole request would take what is sent next for its rest.
+        // A server that answers before it has read the whole request would take what is sent next for its
+        // rest.
         const bool may_keep = m_parser.keep_alive() && m_sent->is_written && !m_sent->failure &&
                               m_sent->connection->buffer.size() == 0 && !m_control->is_cancelled();
         if (!may_keep)
@@ -170,9 +171,8 @@
 
 } // namespace
 
-asio::awaitable<std::unique_ptr<part_stream>> client::open_parts(address target, request message,
-                                                                 call_times times,
-                                                                 std::shared_ptr<call_control> control)
+asio::awaitable<std::unique_ptr<part_stream>>
+client::open_parts(address target, request message, call_times times, std::shared_ptr<call_control> control)
 {
     const auto self = m_pool;
     auto sent = std::make_shared<outgoing_request>();
--- a/Libraries/usage/include/siskinwharf/usage/report_plan.h
+++ b/Libraries/usage/include/siskinwharf/usage/report_plan.h
@@ -15,8 +15,8 @@
 /// Times of the reports.
 struct report_times {
     milliseconds window{5'000};
-    milliseconds due{10'000};    ///< From the end of a window.
-    milliseconds settle{2'000};  ///< From the end of a window until all processes' counts have arrived.
+    milliseconds due{10'000};   ///< From the end of a window.
+    milliseconds settle{2'000}; ///< From the end of a window until all processes' counts have arrived.
 };
 
 /// Store the counts of a window before they are sent. Pass the result to `stored`.
@@ -45,8 +45,8 @@
 
 using report_action = std::variant<store_report, read_report, send_report>;
 
-/// Which report the holder of the duties stores, reads or sends next. The counts of a window are stored under a
-/// condition before they are sent, so that each later holder sends the same ones.
+/// Which report the holder of the duties stores, reads or sends next. The counts of a window are stored under
+/// a condition before they are sent, so that each later holder sends the same ones.
 class report_plan {
 public:
     explicit report_plan(report_times times) : m_times(times) {}
--- a/Libraries/usage/include/siskinwharf/usage/usage_ledger.h
+++ b/Libraries/usage/include/siskinwharf/usage/usage_ledger.h
@@ -18,8 +18,8 @@
 /// Requests of each account that began to run in one window.
 using window_counts = std::map<account_id, std::uint64_t>;
 
-/// What one start of one process has counted in one window. Only ever grows, so that the larger of two copies is
-/// the newer one.
+/// What one start of one process has counted in one window. Only ever grows, so that the larger of two copies
+/// is the newer one.
 struct usage_entry {
     instance_id process;
     std::uint64_t start = 0; ///< Random number of the process's start.
@@ -29,8 +29,8 @@
     bool operator==(const usage_entry&) const = default;
 };
 
-/// Counts of the newest windows from all processes, so that whichever process has to report a window can do so,
-/// also for processes that have died since.
+/// Counts of the newest windows from all processes, so that whichever process has to report a window can do
+/// so, also for processes that have died since.
 class usage_ledger {
 public:
     /// Windows that are kept.
--- a/Services/siskinwharfd/src/capacity_executor.cpp
+++ b/Services/siskinwharfd/src/capacity_executor.cpp
@@ -18,7 +18,7 @@
 control::instance_kind to_control(cloud::purchase_kind kind)
 {
     return kind == cloud::purchase_kind::reclaimable ? control::instance_kind::reclaimable
-                                                        : control::instance_kind::on_demand;
+                                                     : control::instance_kind::on_demand;
 }
 
 cloud::purchase_kind to_platform(control::instance_kind kind)
@@ -58,7 +58,7 @@
 
 /// Instances that run but are not in the instance list serve nothing yet.
 std::vector<cloud::cloud_instance> unlisted(const std::vector<cloud::cloud_instance>& instances,
-                                               const std::vector<cloud::instance_record>& records)
+                                            const std::vector<cloud::instance_record>& records)
 {
     std::set<instance_id> listed;
     for (const auto& record : records)
@@ -131,8 +131,7 @@
         co_return;
     for (auto& [key, tokens] : m_uncertain_tokens)
         std::erase_if(tokens, [&](const std::string& token) {
-            return std::ranges::find(*started, token, &cloud::cloud_instance::client_token) !=
-                   started->end();
+            return std::ranges::find(*started, token, &cloud::cloud_instance::client_token) != started->end();
         });
     auto situation = look(*offered, *started, records, sheet->value);
     const auto plan = m_planner.plan(situation, m_clock());
@@ -244,10 +243,9 @@
     }
 }
 
-asio::awaitable<void>
-capacity_executor::stop_instances(control::offer_key key, std::uint32_t count,
-                                  const std::vector<cloud::cloud_instance>& candidates,
-                                  const permission_check& permitted)
+asio::awaitable<void> capacity_executor::stop_instances(control::offer_key key, std::uint32_t count,
+                                                        const std::vector<cloud::cloud_instance>& candidates,
+                                                        const permission_check& permitted)
 {
     // FIXME: Stop instances that serve, after the routing of the whole failure domain has drained them. A
     // stop must not interrupt a request, so only instances that do not serve yet are stopped here.
--- a/Services/siskinwharfd/src/capacity_executor.h
+++ b/Services/siskinwharfd/src/capacity_executor.h
@@ -10,9 +10,9 @@
 #include <boost/asio/awaitable.hpp>
 
 #include "entry_core.h"
-#include "siskinwharf/control/capacity_planner.h"
 #include "siskinwharf/cloud/cloud_api.h"
 #include "siskinwharf/cloud/instance_list.h"
+#include "siskinwharf/control/capacity_planner.h"
 
 namespace siskinwharf::entry {
 
--- a/Services/siskinwharfd/src/claim_committer.cpp
+++ b/Services/siskinwharfd/src/claim_committer.cpp
@@ -34,15 +34,13 @@
 
 // The operations are named objects: g++ 12 destroys temporaries of a co_await expression twice in some cases.
 
-asio::awaitable<cloud::commit_result> claim_committer::commit(cloud::table_write write,
-                                                                 monotonic_time limit)
+asio::awaitable<cloud::commit_result> claim_committer::commit(cloud::table_write write, monotonic_time limit)
 {
     auto operation = route(std::move(write), limit);
     co_return co_await asio::co_spawn(m_control, std::move(operation), asio::use_awaitable);
 }
 
-asio::awaitable<cloud::commit_result> claim_committer::route(cloud::table_write write,
-                                                                monotonic_time limit)
+asio::awaitable<cloud::commit_result> claim_committer::route(cloud::table_write write, monotonic_time limit)
 {
     if (m_route != nullptr) {
         auto routed = co_await m_route->commit(write, limit);
@@ -53,7 +51,7 @@
 }
 
 asio::awaitable<cloud::commit_result> claim_committer::commit_here(cloud::table_write write,
-                                                                      monotonic_time limit)
+                                                                   monotonic_time limit)
 {
     const auto ticket = m_batcher.submit(std::move(write), now());
     if (!ticket)
--- a/Services/siskinwharfd/src/claim_committer.h
+++ b/Services/siskinwharfd/src/claim_committer.h
@@ -30,7 +30,7 @@
     /// Commits a write, or returns nothing if the write certainly was not and will not be sent that way. Ends
     /// at the limit at the latest.
     virtual boost::asio::awaitable<std::optional<cloud::commit_result>> commit(cloud::table_write write,
-                                                                                  monotonic_time limit) = 0;
+                                                                               monotonic_time limit) = 0;
 };
 
 /// Commits the writes of all claims of the process in groups, and answers for its own attempts. State is
@@ -50,8 +50,7 @@
     /// `table_unavailable`, and one that was sent is `table_uncertain`.
     boost::asio::awaitable<cloud::commit_result> commit(cloud::table_write write, monotonic_time limit);
     /// Commits a write in the groups of this process. Must be awaited on the control thread.
-    boost::asio::awaitable<cloud::commit_result> commit_here(cloud::table_write write,
-                                                                monotonic_time limit);
+    boost::asio::awaitable<cloud::commit_result> commit_here(cloud::table_write write, monotonic_time limit);
     boost::asio::awaitable<cloud::read_result> read(std::string key);
     /// Notes that an attempt is running here.
     boost::asio::awaitable<void> begin(claims::attempt_number attempt);
--- a/Services/siskinwharfd/src/claim_forwarder.cpp
+++ b/Services/siskinwharfd/src/claim_forwarder.cpp
@@ -40,7 +40,7 @@
 }
 
 asio::awaitable<std::optional<cloud::commit_result>> claim_forwarder::commit(cloud::table_write write,
-                                                                                monotonic_time limit)
+                                                                             monotonic_time limit)
 {
     if (!write.value || m_queue.size() >= m_limits.maximum_queued || !usable_committer())
         co_return std::nullopt;
--- a/Services/siskinwharfd/src/claim_forwarder.h
+++ b/Services/siskinwharfd/src/claim_forwarder.h
@@ -60,7 +60,7 @@
     claim_forwarder(boost::asio::io_context& control, forwarding_ports ports, forwarding_limits limits = {});
 
     boost::asio::awaitable<std::optional<cloud::commit_result>> commit(cloud::table_write write,
-                                                                          monotonic_time limit) override;
+                                                                       monotonic_time limit) override;
 
 private:
     struct waiting_write {
--- a/Services/siskinwharfd/src/claim_holders.h
+++ b/Services/siskinwharfd/src/claim_holders.h
@@ -10,9 +10,9 @@
 
 #include "siskinwharf/claims/claim_action.h"
 #include "siskinwharf/claims/claim_identity.h"
+#include "siskinwharf/cloud/instance_list.h"
 #include "siskinwharf/peer/messages.h"
 #include "siskinwharf/peer/transport_options.h"
-#include "siskinwharf/cloud/instance_list.h"
 
 namespace siskinwharf::entry {
 
--- a/Services/siskinwharfd/src/claim_messages.h
+++ b/Services/siskinwharfd/src/claim_messages.h
@@ -2,8 +2,8 @@
 
 #include <string>
 
-#include "siskinwharf/peer/messages.h"
 #include "siskinwharf/cloud/table.h"
+#include "siskinwharf/peer/messages.h"
 
 namespace siskinwharf::entry {
 
@@ -15,6 +15,6 @@
 /// A conflict must list at most the row of this write.
 [[nodiscard]] peer::claim_write_result to_write_result(const cloud::commit_result& result);
 [[nodiscard]] cloud::commit_result to_commit_result(const peer::claim_write_result& result,
-                                                       const std::string& key);
+                                                    const std::string& key);
 
 } // namespace siskinwharf::entry
--- a/Services/siskinwharfd/src/control_loop.h
+++ b/Services/siskinwharfd/src/control_loop.h
@@ -15,11 +15,11 @@
 #include "model_assignment.h"
 #include "order_endpoint.h"
 #include "rollout_executor.h"
+#include "siskinwharf/cloud/cloud_api.h"
+#include "siskinwharf/cloud/table_store.h"
 #include "siskinwharf/control/lease_holder.h"
 #include "siskinwharf/control/order_planner.h"
 #include "siskinwharf/http/client.h"
-#include "siskinwharf/cloud/cloud_api.h"
-#include "siskinwharf/cloud/table_store.h"
 
 namespace siskinwharf::entry {
 
--- a/Services/siskinwharfd/src/forwarding_process.cpp
+++ b/Services/siskinwharfd/src/forwarding_process.cpp
@@ -33,8 +33,8 @@
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
-/// After a request to stop, connections are accepted until the load balancer has seen the failing readiness check
-/// twice, at one check a second.
+/// After a request to stop, connections are accepted until the load balancer has seen the failing readiness
+/// check twice, at one check a second.
 constexpr milliseconds drain_time{3'000};
 /// The process ends this long before it would be killed.
 constexpr milliseconds stop_margin{400};
@@ -197,7 +197,8 @@
 
     asio::awaitable<void> answer_metrics(http::request /*message*/, http::response_writer& writer)
     {
-        http::response answer{200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.render_prometheus()};
+        http::response answer{
+            200, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics.render_prometheus()};
         co_await writer.send(std::move(answer));
     }
 
--- a/Services/siskinwharfd/src/forwarding_process.h
+++ b/Services/siskinwharfd/src/forwarding_process.h
@@ -5,8 +5,8 @@
 
 namespace siskinwharf::entry {
 
-/// The process that forwards requests by route on the users' platform: reads the settings, connects the parts and
-/// runs them on one thread.
+/// The process that forwards requests by route on the users' platform: reads the settings, connects the parts
+/// and runs them on one thread.
 class forwarding_process {
 public:
     /// Reads the settings and opens the listening sockets. Throws `settings::settings_error` and
--- a/Services/siskinwharfd/src/instance_feed.h
+++ b/Services/siskinwharfd/src/instance_feed.h
@@ -9,10 +9,10 @@
 #include <boost/asio/io_context.hpp>
 
 #include "entry_core.h"
+#include "siskinwharf/cloud/http_platform.h"
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/membership/instance_share.h"
 #include "siskinwharf/membership/member_options.h"
-#include "siskinwharf/cloud/http_platform.h"
 
 namespace siskinwharf::entry {
 
--- a/Services/siskinwharfd/src/model_assignment.h
+++ b/Services/siskinwharfd/src/model_assignment.h
@@ -3,9 +3,9 @@
 #include <map>
 #include <vector>
 
+#include "siskinwharf/cloud/instance_list.h"
 #include "siskinwharf/control/order_planner.h"
 #include "siskinwharf/http/message.h"
-#include "siskinwharf/cloud/instance_list.h"
 #include "siskinwharf/sheet/sheet.h"
 
 namespace siskinwharf::entry {
--- a/Services/siskinwharfd/src/peer_node.h
+++ b/Services/siskinwharfd/src/peer_node.h
@@ -18,10 +18,10 @@
 #include "isolation_exchange.h"
 #include "load_poller.h"
 #include "quarantine_exchange.h"
+#include "siskinwharf/cloud/instance_list.h"
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/membership/member_table.h"
 #include "siskinwharf/peer/peer_transport.h"
-#include "siskinwharf/cloud/instance_list.h"
 
 namespace siskinwharf::entry {
 
--- a/Services/siskinwharfd/src/platform_sync.cpp
+++ b/Services/siskinwharfd/src/platform_sync.cpp
@@ -79,9 +79,8 @@
       m_core(core),
       m_observer(std::move(watcher)),
       m_table(client, platform_access_of(core.settings)),
-      m_instances(
-          context, core, client, std::move(peers),
-          [this](const std::vector<cloud::instance_record>& records) { apply_instances(records); }),
+      m_instances(context, core, client, std::move(peers),
+                  [this](const std::vector<cloud::instance_record>& records) { apply_instances(records); }),
       m_sheet_schedule(now()),
       m_sheet_timer(context)
 {
--- a/Services/siskinwharfd/src/platform_sync.h
+++ b/Services/siskinwharfd/src/platform_sync.h
@@ -13,9 +13,9 @@
 #include "endpoint_versions.h"
 #include "entry_core.h"
 #include "instance_feed.h"
+#include "siskinwharf/cloud/http_platform.h"
 #include "siskinwharf/http/client.h"
 #include "siskinwharf/membership/endpoint_directory.h"
-#include "siskinwharf/cloud/http_platform.h"
 #include "siskinwharf/sheet/poll_schedule.h"
 
 namespace siskinwharf::entry {
--- a/Services/siskinwharfd/src/summary_exchange.h
+++ b/Services/siskinwharfd/src/summary_exchange.h
@@ -9,8 +9,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include "entry_core.h"
-#include "siskinwharf/membership/domain_summary_table.h"
 #include "siskinwharf/cloud/instance_list.h"
+#include "siskinwharf/membership/domain_summary_table.h"
 
 namespace siskinwharf::entry {
 
--- a/Services/siskinwharfd/tests/claim_forwarding_test.cpp
+++ b/Services/siskinwharfd/tests/claim_forwarding_test.cpp
@@ -352,8 +352,7 @@
     test.committer_known = false;
     CHECK(test.commit("b", now()) == cloud::commit_result{cloud::table_unavailable{}});
     test.table.held = true;
-    CHECK(test.commit("c", now() + milliseconds(100)) ==
-          cloud::commit_result{cloud::table_uncertain{}});
+    CHECK(test.commit("c", now() + milliseconds(100)) == cloud::commit_result{cloud::table_uncertain{}});
     test.table.release();
     CHECK(test.commit("d") == cloud::commit_result{cloud::table_committed{}});
     CHECK_FALSE(test.table.rows.contains("claim/b"));
