--- a/Libraries/dispatch/src/endpoint_board.cpp
+++ b/Libraries/dispatch/src/endpoint_board.cpp
@@ -31,9 +31,11 @@
 constexpr milliseconds longest_retry{2'000};
 /// An endpoint that joins or restarts takes about this long.
 constexpr milliseconds retry_without_endpoint{700};
-/// Without an index of what others sent there, half of the shared parts are taken to be at the preferred
+/// Without an index of what others sent there, this share of the shared parts is taken to be at the preferred
 /// endpoint.
-constexpr std::uint64_t expected_cache_divisor = 2;
+constexpr double preferred_cache_share = 0.8;
+/// Reading a part again delays the requests after it too, and is billed: it weighs more than the own wait.
+constexpr double reading_weight = 2;
 constexpr std::uint64_t default_cache_tokens = 400'000;
 
 std::uint64_t preference(std::uint64_t key, const endpoint_id& endpoint)
@@ -175,13 +177,15 @@
     for (const auto* state : candidates) {
         auto reading = reading_tokens(*state, work);
         if (state == preferred && reading == work.prompt_tokens)
-            reading -= std::min(reading, shared_tokens(work) / expected_cache_divisor);
+            reading -= std::min(reading, static_cast<std::uint64_t>(static_cast<double>(shared_tokens(work)) *
+                                                                 preferred_cache_share));
         const auto expected = expected_ms(*state, wanted, work, reading);
         const auto penalty =
             (state->failure_share - lowest_failure) * static_cast<double>(m_settings.failure_penalty.count());
         // A fraction of a millisecond spreads requests over equal endpoints by their number of requests.
         const auto spread = static_cast<double>(state->running + state->peers_running) * 0.5;
-        const auto cost = expected + penalty + preference_ms(*state) + spread;
+        const auto reading_ms = static_cast<double>(reading) / times_of(wanted.id).tokens_per_ms;
+        const auto cost = expected + penalty + preference_ms(*state) + spread + reading_ms * reading_weight;
         if (cost < best_cost) {
             best = state;
             best_cost = cost;
