Base: Write the log to standard output in a bounded buffer

Lines that do not fit are dropped and counted by event. A forwarding process writes its lines some kilobytes at a time.

--- a/Libraries/base/include/siskinwharf/base/event.h
+++ b/Libraries/base/include/siskinwharf/base/event.h
@@ -33,6 +33,8 @@
                                           "A listening socket could not be opened."};
 inline constexpr event_kind settings_reloaded{106, event_level::info, "settings_reloaded",
                                               "The settings file was read again."};
+inline constexpr event_kind log_lines_dropped{107, event_level::warning, "log_lines_dropped",
+                                              "Lines of an event were dropped while nobody read the log."};
 
 inline constexpr event_kind request_accepted{200, event_level::debug, "request_accepted",
                                              "An endpoint has confirmed the stream of a request."};
@@ -127,6 +129,7 @@
     settings_rejected,
     listen_failed,
     settings_reloaded,
+    log_lines_dropped,
     request_accepted,
     request_finished,
     request_refused,
--- a/Libraries/base/src/event_log.cpp
+++ b/Libraries/base/src/event_log.cpp
@@ -2,18 +2,39 @@
 
 #include <atomic>
 #include <chrono>
-#include <cstdio>
 #include <iterator>
+#include <mutex>
+
+#include <unistd.h>
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include "siskinwharf/base/log_buffer.h"
+
 namespace siskinwharf {
 
 namespace {
 
 std::atomic<event_level> lowest_level{event_level::info};
 
+/// Lines that are written together where batching is on.
+constexpr std::size_t batch_bytes = 3'500;
+std::mutex log_mutex;
+bool is_batching = false;
+log_buffer log_output{STDOUT_FILENO};
+
+/// Says how many lines of which events were dropped. The mutex is held.
+void add_dropped_lines(const std::string& now_text)
+{
+    for (const auto& [number, count] : log_output.take_dropped()) {
+        const auto& kind = event::log_lines_dropped;
+        const auto text =
+            format_event(kind, {{"event", std::to_string(number)}, {"lines", std::to_string(count)}});
+        log_output.add(kind.number, fmt::format("{} {}\n", now_text, text));
+    }
+}
+
 char level_letter(event_level level)
 {
     switch (level) {
@@ -87,11 +108,29 @@
     const auto now =
         std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
     const auto milliseconds_part = now.time_since_epoch().count() % 1000;
-    const std::string line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n",
-                                         fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
-                                         milliseconds_part, format_event(kind, fields));
-    // One write for a line keeps lines of several threads whole.
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    const std::string now_text =
+        fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+                    milliseconds_part);
+    const std::string line = fmt::format("{} {}\n", now_text, format_event(kind, fields));
+    const std::scoped_lock lock(log_mutex);
+    if (log_output.has_dropped() && log_output.waiting() < log_buffer::capacity / 2)
+        add_dropped_lines(now_text);
+    log_output.add(kind.number, line);
+    const bool is_urgent = kind.level >= event_level::warning || !is_batching;
+    if (is_urgent || log_output.waiting() >= batch_bytes)
+        log_output.flush();
+}
+
+void set_event_batching(bool is_on)
+{
+    const std::scoped_lock lock(log_mutex);
+    is_batching = is_on;
+}
+
+void flush_events()
+{
+    const std::scoped_lock lock(log_mutex);
+    log_output.flush();
 }
 
 } // namespace siskinwharf
--- a/Libraries/base/tests/base_test.cpp
+++ b/Libraries/base/tests/base_test.cpp
@@ -1,8 +1,14 @@
+#include <array>
+#include <vector>
+
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 
 #include "siskinwharf/base/digest.h"
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/base/hash.h"
+#include "siskinwharf/base/log_buffer.h"
 
 namespace siskinwharf {
 
@@ -35,4 +41,31 @@
     CHECK(hash64("a") != hash64("b"));
 }
 
+TEST_CASE("a log that nobody reads neither blocks nor grows, and its lost lines are counted")
+{
+    std::array<int, 2> ends{};
+    REQUIRE(pipe(ends.data()) == 0);
+    log_buffer output(ends[1]);
+    const std::string line(200, 'x');
+    constexpr int lines = 5'000; // A megabyte: more than the pipe and the buffer hold.
+    for (int count = 0; count < lines; ++count) {
+        output.add(221, line);
+        output.flush();
+    }
+    CHECK(output.waiting() <= log_buffer::capacity);
+    CHECK(output.has_dropped());
+    const auto dropped = output.take_dropped();
+    REQUIRE(dropped.contains(221));
+    CHECK(dropped.at(221) < lines);
+    CHECK_FALSE(output.has_dropped());
+    // A reader that comes back gets what was kept.
+    std::vector<char> received(log_buffer::capacity);
+    REQUIRE(read(ends[0], received.data(), received.size()) > 0);
+    const auto before = output.waiting();
+    output.flush();
+    CHECK(output.waiting() < before);
+    close(ends[0]);
+    close(ends[1]);
+}
+
 } // namespace siskinwharf
--- a/Libraries/control/tests/endpoint_planner_test.cpp
+++ b/Libraries/control/tests/endpoint_planner_test.cpp
@@ -45,7 +45,7 @@
                 if (order.count <= count)
                     count = order.count;
                 else
-                    starts.push_back({now + situation.start_time, order});
+                    starts.emplace_back(now + situation.start_time, order);
             }
         }
         for (const auto& [time, order] : starts) {
--- a/Libraries/deployment/src/snapshot.cpp
+++ b/Libraries/deployment/src/snapshot.cpp
@@ -28,8 +28,7 @@
     for (std::size_t index = 0; index < m_content.services.size(); ++index)
         m_services.emplace(m_content.services[index].id, index);
     std::ranges::sort(m_ranks);
-    const auto repeated = std::ranges::unique(m_ranks);
-    m_ranks.erase(repeated.begin(), repeated.end());
+    m_ranks.erase(std::unique(m_ranks.begin(), m_ranks.end()), m_ranks.end());
 }
 
 const route* snapshot::find_route(std::string_view host, std::string_view path) const
--- a/Libraries/dispatch/src/endpoint_board.cpp
+++ b/Libraries/dispatch/src/endpoint_board.cpp
@@ -178,7 +178,7 @@
         auto reading = reading_tokens(*state, work);
         if (state == preferred && reading == work.prompt_tokens)
             reading -= std::min(reading, static_cast<std::uint64_t>(static_cast<double>(shared_tokens(work)) *
-                                                                 preferred_cache_share));
+                                                                    preferred_cache_share));
         const auto expected = expected_ms(*state, wanted, work, reading);
         const auto penalty =
             (state->failure_share - lowest_failure) * static_cast<double>(m_settings.failure_penalty.count());
--- a/Libraries/forwarding/src/deployment_watch.cpp
+++ b/Libraries/forwarding/src/deployment_watch.cpp
@@ -220,8 +220,7 @@
                       {{"endpoint", record.id.value()}, {"list", std::to_string(m_list_version)}});
     }
     for (const auto& [id, known] : m_state.board().endpoints()) {
-        const bool stays = std::ranges::any_of(records, [&](const auto& record) { return record.id == id; });
-        if (!stays) {
+        if (std::ranges::find(records, id, &dispatch::endpoint_record::id) == records.end()) {
             log_event(event::endpoint_gone,
                       {{"endpoint", id.value()}, {"list", std::to_string(m_list_version)}});
             m_client.forget({known.record.ip, known.record.port});
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -88,6 +88,7 @@
     m_board.set_peer_loads(loads);
     for (auto& [account, quota] : m_quotas) {
         std::vector<dispatch::peer_use> uses;
+        uses.reserve(peers.size());
         for (const auto& peer : peers)
             uses.push_back({peer.state == nullptr ? dispatch::quota_use{} : use_of(*peer.state, account),
                             peer.age, peer.has_ended});
--- a/Services/siskinwharfd/src/forwarding_process.cpp
+++ b/Services/siskinwharfd/src/forwarding_process.cpp
@@ -39,6 +39,8 @@
 /// The process ends this long before it would be killed.
 constexpr milliseconds stop_margin{400};
 constexpr milliseconds stop_poll{50};
+/// Longest time that a log line waits to be written.
+constexpr milliseconds log_period{500};
 constexpr std::uint32_t most_connections = 3'000;
 constexpr int not_ready_status = 503;
 
@@ -126,11 +128,24 @@
         m_peer_server.start();
         m_metrics_server.start();
         asio::co_spawn(m_context, handle_signals(), asio::detached);
+        asio::co_spawn(m_context, flush_log(), asio::detached);
         m_context.run();
         log_event(event::process_stopped);
+        flush_events();
     }
 
 private:
+    asio::awaitable<void> flush_log()
+    {
+        set_event_batching(true);
+        asio::steady_timer timer(m_context);
+        while (true) {
+            flush_events();
+            timer.expires_after(log_period);
+            co_await timer.async_wait(use_tuple);
+        }
+    }
+
     asio::awaitable<void> handle_signals()
     {
         while (true) {
