--- a/Meta/CMake/siskinwharf.cmake
+++ b/Meta/CMake/siskinwharf.cmake
@@ -55,7 +55,7 @@
     target_link_libraries(siskinwharf_${name} PUBLIC ${ARG_DEPENDS} PRIVATE ${ARG_PRIVATE_DEPENDS})
     # Packages with coroutines go without: clang 14 cannot compile these with -fsanitize=undefined, and g++ 12 does
     # not finish in reasonable time.
-    set(coroutine_packages net http peer cloud)
+    set(coroutine_packages net http peer cloud forwarding)
     if(SISKINWHARF_SANITIZER STREQUAL "address" AND NOT name IN_LIST coroutine_packages)
         target_compile_options(siskinwharf_${name} PRIVATE -fsanitize=undefined)
     endif()
