--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -304,6 +304,7 @@
         m_may_have_run = true;
         // The budget for the repeat is taken; `may_try_again` must not take it again.
         m_has_repeat = true;
+        m_failure_answer = std::move(whole);
         co_return attempt_end::failed;
     }
     co_await m_writer.send(std::move(whole));
@@ -372,6 +373,15 @@
         m_writer.abort();
         co_return;
     }
+    if (m_failure_answer) {
+        auto answer = std::move(*m_failure_answer);
+        try {
+            co_await m_writer.send(std::move(answer));
+        } catch (const http::caller_disconnected& error) {
+            log_event(event::caller_left, {{"request", m_call.id.value()}, {"reason", error.what()}});
+        }
+        co_return;
+    }
     http::refusal reason;
     if (end == attempt_end::timed_out)
         reason = {http::refusal_type::deadline_exceeded, "no answer in time", outcome::unknown};
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -91,6 +91,8 @@
     bool m_has_repeat = false; ///< A repeat is already taken from the budget.
     bool m_is_counted = false;
     bool m_is_gone = false;
+    /// A failure that an endpoint answered, for the case that a repeat yields nothing better.
+    std::optional<http::response> m_failure_answer;
     std::shared_ptr<http::call_control> m_control;
     event_splitter m_events;
 };
