--- a/Libraries/http/include/siskinwharf/http/refusal.h
+++ b/Libraries/http/include/siskinwharf/http/refusal.h
@@ -10,7 +10,7 @@
 
 namespace siskinwharf::http {
 
-/// Why a request is refused. docs/operations.md says what each means and what the caller should do.
+/// Why a request is refused. docs/OPERATIONS.md says what each means and what the caller should do.
 enum class refusal_type {
     malformed,
     header_too_large,
