--- a/Libraries/dispatch/include/siskinwharf/dispatch/account_quota.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/account_quota.h
@@ -45,14 +45,13 @@
 /// its part no faster than it hears what the others spend.
 class account_quota {
 public:
-    account_quota(const quota_limit& limit, monotonic_time now)
-        : m_limit(limit), m_started(now), m_refilled_at(now)
-    {
-    }
+    account_quota(const quota_limit& limit, monotonic_time now) : m_limit(limit), m_refilled_at(now) {}
 
     void set_limit(const quota_limit& limit) { m_limit = limit; }
-    /// `processes` is the number of all processes, this one included.
-    void set_others(const quota_use& use, std::size_t processes, monotonic_time now);
+    /// `processes` is the number of all processes, this one included. `coverage` is the part of a window, 0
+    /// to 1, of which the processes know what they admitted: after a start of all, nobody knows what was used
+    /// before.
+    void set_others(const quota_use& use, std::size_t processes, double coverage, monotonic_time now);
 
     /// Counts `amount` and returns true, or returns false if the limit is reached.
     [[nodiscard]] bool try_take(double amount, monotonic_time now);
@@ -72,14 +71,14 @@
     slice& current(monotonic_time now);
     [[nodiscard]] double admitted_since(monotonic_time first) const;
     [[nodiscard]] bool may_take(double amount, monotonic_time now);
-    /// The limit in a window and the used part of the tolerance.
+    /// The limit in the known part of a window and the used part of the tolerance.
     [[nodiscard]] double allowed_in_window() const;
     void refill(monotonic_time now);
 
     quota_limit m_limit;
-    monotonic_time m_started;
     std::size_t m_processes = 1;
     double m_others_in_window = 0;
+    double m_coverage = 0;
     double m_part = 0;  ///< This process's part of what is left of the limit.
     double m_level = 0; ///< Of that part, what may be taken now.
     monotonic_time m_refilled_at;
--- a/Libraries/dispatch/src/account_quota.cpp
+++ b/Libraries/dispatch/src/account_quota.cpp
@@ -60,9 +60,11 @@
     return result;
 }
 
-void account_quota::set_others(const quota_use& use, std::size_t processes, monotonic_time now)
+void account_quota::set_others(const quota_use& use, std::size_t processes, double coverage,
+                               monotonic_time now)
 {
     refill(now);
+    m_coverage = std::clamp(coverage, 0.0, 1.0);
     m_processes = std::max<std::size_t>(processes, 1);
     const auto own = this->use(now);
     const auto left = allowed_in_window() - own.in_window - use.in_window;
@@ -77,7 +79,9 @@
 double account_quota::allowed_in_window() const
 {
     const auto window_s = std::chrono::duration<double>(m_limit.window).count();
-    const auto limit = m_limit.per_second * window_s + m_limit.burst;
+    // The burst may have been used in the part of the window that is not known; its square lets it return
+    // late.
+    const auto limit = m_limit.per_second * window_s * m_coverage + m_limit.burst * m_coverage * m_coverage;
     return limit * (1 + used_tolerance * m_limit.tolerance_share) + used_tolerance * m_limit.tolerance_amount;
 }
 
@@ -118,14 +122,7 @@
 
 bool account_quota::may_take(double amount, monotonic_time now)
 {
-    const auto window_s = std::chrono::duration<double>(m_limit.window).count();
     refill(now);
-    // A process that has just started does not know what it admitted before: it begins with an equal share of
-    // the rate and without a burst.
-    if (const auto age = seconds_between(m_started, now); age < window_s) {
-        const auto allowed = m_limit.per_second * age + used_tolerance * m_limit.tolerance_amount;
-        return admitted_since(m_started) <= allowed / static_cast<double>(m_processes);
-    }
     const auto known = admitted_since(now - m_limit.window) + m_others_in_window;
     return m_level > 0 || known + amount <= free_share * allowed_in_window();
 }
--- a/Libraries/dispatch/tests/quota_test.cpp
+++ b/Libraries/dispatch/tests/quota_test.cpp
@@ -17,7 +17,8 @@
 /// Several processes that tell each other their use after a delay, under a load of `offered` tokens a second
 /// each.
 struct fleet {
-    explicit fleet(std::size_t size, monotonic_time start) : quotas(size, account_quota(limit, start))
+    explicit fleet(std::size_t size, monotonic_time start)
+        : started(start), quotas(size, account_quota(limit, start))
     {
         exchange(start);
     }
@@ -53,10 +54,13 @@
                     last = {quotas[other].use(now), now};
                 peers.push_back({last.first, std::chrono::duration_cast<milliseconds>(now - last.second)});
             }
-            quotas[own].set_others(use_of_others(quotas[own].use(now), peers, limit), quotas.size(), now);
+            const auto others = use_of_others(quotas[own].use(now), peers, limit);
+            const auto coverage = std::chrono::duration<double>(now - started) / limit.window;
+            quotas[own].set_others(others, quotas.size(), coverage, now);
         }
     }
 
+    monotonic_time started;
     std::vector<account_quota> quotas;
     std::vector<std::vector<std::pair<quota_use, monotonic_time>>> said; ///< By listener and speaker.
 };
@@ -118,6 +122,26 @@
     CHECK(taken <= allowed);
 }
 
+TEST_CASE("after a start of all processes an account below its limit is served where its callers are")
+{
+    monotonic_time now{};
+    fleet all(9, now);
+    double asked = 0;
+    double taken = 0;
+    for (int step = 0; step < 80; ++step) {
+        now += milliseconds(100);
+        // Half of the rate, all of it at one process.
+        constexpr double request = 25;
+        for (int count = 0; count < 2; ++count) {
+            asked += request;
+            taken += all.quotas.front().try_take(request, now) ? request : 0;
+        }
+        if (step % 3 == 0)
+            all.exchange(now);
+    }
+    CHECK(taken >= asked * 0.9);
+}
+
 TEST_CASE("both sides of a partition that begins with a rise in traffic stay within the bound together")
 {
     monotonic_time now{};
@@ -152,12 +176,12 @@
 {
     const monotonic_time later = monotonic_time{} + seconds(20);
     account_quota quota(limit, {});
-    quota.set_others({}, 1, {});
+    quota.set_others({}, 1, 1, {});
     REQUIRE(quota.try_take(allowed, later));
-    quota.set_others({}, 1, later);
+    quota.set_others({}, 1, 1, later);
     CHECK_FALSE(quota.try_take(1'000, later));
     quota.give_back(allowed, later);
-    quota.set_others({}, 1, later);
+    quota.set_others({}, 1, 1, later);
     CHECK(quota.try_take(1'000, later + seconds(1)));
 }
 
--- a/Libraries/exchange/exchange.thrift
+++ b/Libraries/exchange/exchange.thrift
@@ -48,4 +48,5 @@
   13: list<window_usage> usage
   14: list<service_demand> services
   15: list<crash_record> crashes
+  16: i64 uptime_ms
 }
--- a/Libraries/exchange/include/siskinwharf/exchange/process_state.h
+++ b/Libraries/exchange/include/siskinwharf/exchange/process_state.h
@@ -38,6 +38,7 @@
     std::uint64_t start = 0;    ///< Random number of the process's start.
     std::uint64_t sequence = 0; ///< Rises with each message of one start.
     usage::wall_time wall{};    ///< The process's own clock.
+    milliseconds uptime{0};
     std::uint64_t configuration_version = 0;
     std::uint64_t list_version = 0; ///< Of the list of endpoints.
     std::uint16_t port = 0;         ///< Of the HTTP interface for peers.
--- a/Libraries/exchange/src/process_state.cpp
+++ b/Libraries/exchange/src/process_state.cpp
@@ -46,6 +46,7 @@
     result.start = to_signed(value.start);
     result.sequence = to_signed(value.sequence);
     result.wall_ms = value.wall.time_since_epoch().count();
+    result.uptime_ms = value.uptime.count();
     result.configuration_version = to_signed(value.configuration_version);
     result.list_version = to_signed(value.list_version);
     result.port = value.port;
@@ -94,6 +95,7 @@
     result.start = to_unsigned(value.start);
     result.sequence = to_unsigned(value.sequence);
     result.wall = usage::wall_time(milliseconds(value.wall_ms));
+    result.uptime = milliseconds(value.uptime_ms);
     result.configuration_version = to_unsigned(value.configuration_version);
     result.list_version = to_unsigned(value.list_version);
     result.port = static_cast<std::uint16_t>(value.port);
--- a/Libraries/exchange/tests/process_state_test.cpp
+++ b/Libraries/exchange/tests/process_state_test.cpp
@@ -14,6 +14,7 @@
     state.start = 0xFFFF'FFFF'FFFF'FFFFULL;
     state.sequence = 12;
     state.wall = usage::wall_time(milliseconds(1'764'000'000'000));
+    state.uptime = milliseconds(12'000);
     state.configuration_version = 9;
     state.list_version = 412;
     state.port = 7600;
--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -75,9 +75,12 @@
         dispatch::retry_allowance allowance;
         dispatch::account_quota tokens; ///< Only for its moving average.
     };
+    /// Part of a quota's window of which the processes that are heard know what they admitted.
+    [[nodiscard]] double window_coverage(const std::vector<peer_view>& peers, monotonic_time now) const;
     service_traffic& traffic_of(const service_id& service, monotonic_time now);
 
     process_settings m_settings;
+    monotonic_time m_started;
     std::shared_ptr<const deployment::snapshot> m_snapshot;
     dispatch::endpoint_board m_board;
     bool m_has_endpoints = false;
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace siskinwharf::forwarding {
 
@@ -36,6 +37,7 @@
 traffic_state::traffic_state(const process_settings& settings, std::uint64_t start, usage::wall_time wall,
                              monotonic_time now)
     : m_settings(settings),
+      m_started(now),
       m_board(board_settings_of(settings)),
       m_ledger(settings.instance, start),
       m_clock(wall, now),
@@ -75,6 +77,28 @@
     m_quarantine.merge(state.crashes, now);
 }
 
+double traffic_state::window_coverage(const std::vector<peer_view>& peers, monotonic_time now) const
+{
+    const auto covered = [this](nanoseconds uptime) {
+        return std::min(1.0, std::chrono::duration<double>(uptime) / m_settings.bounds.quota_window);
+    };
+    // What a peer used before it started again is known from its former messages.
+    std::set<instance_id> started_again;
+    for (const auto& peer : peers) {
+        if (peer.has_ended)
+            started_again.insert(peer.state->process);
+    }
+    double sum = covered(now - m_started);
+    double processes = 1;
+    for (const auto& peer : peers) {
+        if (!peer.is_heard)
+            continue;
+        sum += started_again.contains(peer.state->process) ? 1.0 : covered(peer.state->uptime + peer.age);
+        processes += 1;
+    }
+    return sum / processes;
+}
+
 void traffic_state::set_peers(const std::vector<peer_view>& peers, monotonic_time now)
 {
     m_processes = 1;
@@ -86,13 +110,15 @@
             loads.insert(loads.end(), peer.state->loads.begin(), peer.state->loads.end());
     }
     m_board.set_peer_loads(loads);
+    const auto coverage = window_coverage(peers, now);
     for (auto& [account, quota] : m_quotas) {
         std::vector<dispatch::peer_use> uses;
         uses.reserve(peers.size());
         for (const auto& peer : peers)
             uses.push_back({peer.state == nullptr ? dispatch::quota_use{} : use_of(*peer.state, account),
                             peer.age, peer.has_ended});
-        quota.set_others(dispatch::use_of_others(quota.use(now), uses, quota.limit()), m_processes, now);
+        quota.set_others(dispatch::use_of_others(quota.use(now), uses, quota.limit()), m_processes, coverage,
+                         now);
     }
     m_quarantine.expire(now);
     m_ledger.forget(current_window(now));
@@ -170,6 +196,7 @@
 
 void traffic_state::describe(exchange::process_state& state, monotonic_time now) const
 {
+    state.uptime = std::chrono::duration_cast<milliseconds>(now - m_started);
     state.wall = m_clock.uncorrected(now);
     state.configuration_version = m_snapshot ? m_snapshot->version() : 0;
     state.loads = m_board.own_loads();
--- a/Libraries/http/src/connection_pool.cpp
+++ b/Libraries/http/src/connection_pool.cpp
@@ -2,6 +2,8 @@
 
 #include "connection.h"
 
+#include <netinet/tcp.h>
+
 namespace siskinwharf::http {
 
 namespace {
@@ -24,6 +26,24 @@
     return error == asio::error::would_block;
 }
 
+/// A connection whose other side is cut off, or that goes silent for good, fails within about three seconds.
+/// Without this a call that waits for changes would hang for its whole time while the list of endpoints grows
+/// old.
+void detect_silence(tcp::socket& socket)
+{
+    using keep_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using keep_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using keep_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(keep_idle(connection_pool::silent_seconds_before_probe), ignored);
+    socket.set_option(keep_interval(connection_pool::seconds_between_probes), ignored);
+    socket.set_option(keep_count(connection_pool::lost_probes), ignored);
+    socket.set_option(user_timeout(static_cast<int>(connection_pool::longest_unacknowledged.count())),
+                      ignored);
+}
+
 } // namespace
 
 connection_pool::connection_pool(asio::any_io_executor executor) : m_executor(std::move(executor)) {}
@@ -52,6 +72,7 @@
                          error == beast::error::timeout);
     boost::system::error_code ignored;
     fresh->stream.socket().set_option(tcp::no_delay(true), ignored);
+    detect_silence(fresh->stream.socket());
     ++m_opened;
     co_return fresh;
 }
--- a/Libraries/http/src/connection_pool.h
+++ b/Libraries/http/src/connection_pool.h
@@ -45,6 +45,12 @@
     static constexpr milliseconds default_connect_timeout{2'000};
     /// Servers close idle connections after some seconds; one that is about to be closed must not be used.
     static constexpr milliseconds default_lifetime{60'000};
+    /// Keep-alive probes of a connection without traffic, as the system counts them.
+    static constexpr int silent_seconds_before_probe = 1;
+    static constexpr int seconds_between_probes = 1;
+    static constexpr int lost_probes = 2;
+    /// Sent data that is not acknowledged for this time ends the connection.
+    static constexpr milliseconds longest_unacknowledged{3'000};
 
 private:
     boost::asio::any_io_executor m_executor;
--- a/Libraries/http/tests/http_test.cpp
+++ b/Libraries/http/tests/http_test.cpp
@@ -2,8 +2,11 @@
 
 #include <exception>
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
@@ -15,6 +18,8 @@
 #include "siskinwharf/http/refusal.h"
 #include "siskinwharf/http/server.h"
 
+#include "connection_pool.h"
+
 namespace siskinwharf::http {
 
 namespace asio = boost::asio;
@@ -167,4 +172,28 @@
     CHECK(percent_encode("x/y z") == "x%2Fy%20z");
 }
 
+TEST_CASE("a connection that goes silent is probed")
+{
+    // A call that waits for changes would otherwise hang for its whole time after a cut.
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    connection_pool pool(context.get_executor());
+    int is_probed = 0;
+    int seconds_idle = 0;
+    asio::co_spawn(
+        context,
+        [&]() -> asio::awaitable<void> {
+            const address target{"127.0.0.1", acceptor.local_endpoint().port()};
+            const auto used = co_await pool.connect(target, false);
+            socklen_t size = sizeof(int);
+            const auto handle = used->stream.socket().native_handle();
+            getsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &is_probed, &size);
+            getsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &seconds_idle, &size);
+        },
+        asio::detached);
+    context.run_for(generous_timeout);
+    CHECK(is_probed != 0);
+    CHECK(seconds_idle == connection_pool::silent_seconds_before_probe);
+}
+
 } // namespace siskinwharf::http
