Membership: Repeat an announcement until each member confirms it

Cause: notices went out three times, 400 ms apart, whether or not they had arrived. Ruled out: the relay by gossip works as before. A confirmed member gets one datagram instead of three.

--- a/Libraries/membership/include/siskinwharf/membership/member_options.h
+++ b/Libraries/membership/include/siskinwharf/membership/member_options.h
@@ -29,9 +29,10 @@
     milliseconds longest_tick_gap{1000};
     /// Transmissions of an item of gossip, for each doubling of the number of members.
     std::uint32_t transmissions_factor = 3;
-    /// An announced notice goes directly to all members this often, so that one lost datagram delays nobody.
-    std::uint32_t announcements = 3;
-    milliseconds announcement_period{400};
+    /// An announced notice goes directly to each member until the member confirms it, at most this often:
+    /// within the 2 s in which a leaving endpoint must be known.
+    std::uint32_t announcements = 10;
+    milliseconds announcement_period{200};
 };
 
 /// How often `member_table::tick` is to be called.
--- a/Libraries/membership/include/siskinwharf/membership/member_table.h
+++ b/Libraries/membership/include/siskinwharf/membership/member_table.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <vector>
 
 #include "siskinwharf/base/identifier.h"
@@ -49,7 +50,7 @@
     /// Tells all members that this process leaves. It sends no probes from then on.
     [[nodiscard]] member_output leave(monotonic_time now);
 
-    /// Sends notices that originate here to all members directly and repeats them.
+    /// Sends notices that originate here to all members directly and repeats them until these confirm them.
     [[nodiscard]] member_output announce(monotonic_time now,
                                          const std::vector<peer::endpoint_notice>& notices);
 
@@ -114,8 +115,10 @@
         monotonic_time expires_at;
     };
 
+    // One datagram of notices that goes to each member until the member confirms it.
     struct announcement {
-        std::vector<peer::endpoint_notice> notices;
+        peer::endpoint_notices notices;
+        std::set<instance_id> unconfirmed;
         std::uint32_t remaining = 0;
         monotonic_time next_at;
     };
@@ -140,7 +143,9 @@
                 const peer::ping_request& body, member_output& output);
 
     void send_ping(const instance_id& recipient, std::uint64_t number, member_output& output);
-    void send_to_working(const std::vector<peer::endpoint_notice>& notices, member_output& output) const;
+    [[nodiscard]] std::vector<announcement>
+    announcements_of(const std::vector<peer::endpoint_notice>& notices);
+    void send_unconfirmed(announcement& item, monotonic_time now, member_output& output) const;
     [[nodiscard]] peer::gossip news_for(const instance_id& recipient);
     [[nodiscard]] peer::gossip full_state() const;
     [[nodiscard]] peer::member_update own_update() const;
--- a/Libraries/membership/src/member_probes.cpp
+++ b/Libraries/membership/src/member_probes.cpp
@@ -157,14 +157,12 @@
 
 void member_table::repeat_announcements(monotonic_time now, member_output& output)
 {
-    for (auto& [notices, remaining, next_at] : m_announcements) {
-        if (now < next_at)
-            continue;
-        send_to_working(notices, output);
-        --remaining;
-        next_at = now + m_options.announcement_period;
+    std::erase_if(m_announcements,
+                  [](const announcement& item) { return item.unconfirmed.empty() || item.remaining == 0; });
+    for (auto& item : m_announcements) {
+        if (now >= item.next_at)
+            send_unconfirmed(item, now, output);
     }
-    std::erase_if(m_announcements, [](const announcement& item) { return item.remaining == 0; });
 }
 
 void member_table::forget_departed(monotonic_time now)
--- a/Libraries/membership/src/member_table.cpp
+++ b/Libraries/membership/src/member_table.cpp
@@ -78,6 +78,9 @@
             now + m_options.synchronization_period * 3 / 4 + milliseconds(jitter(random));
     } else if (const auto* direct = std::get_if<peer::endpoint_notices>(&body)) {
         output.notices = direct->notices;
+        if (direct->number != 0)
+            output.messages.push_back(
+                {sender, from, peer::ack{direct->number, news_for(sender)}, delivery::datagram});
     }
     return output;
 }
@@ -140,9 +143,13 @@
     m_news->add(own_update(), transmissions());
 }
 
-void member_table::handle(monotonic_time now, const instance_id& /*sender*/, const peer::address& /*from*/,
+void member_table::handle(monotonic_time now, const instance_id& sender, const peer::address& /*from*/,
                           const peer::ack& body, member_output& output)
 {
+    for (auto& item : m_announcements) {
+        if (item.notices.number == body.number)
+            item.unconfirmed.erase(sender);
+    }
     // The number is enough: an indirect answer comes from the process that was asked to probe.
     if (m_probe && m_probe->number == body.number) {
         m_probe.reset();
@@ -218,10 +225,9 @@
     if (notices.empty())
         return output;
     relay(notices);
-    send_to_working(notices, output);
-    if (m_options.announcements > 1) {
-        m_announcements.push_back(
-            {notices, m_options.announcements - 1, now + m_options.announcement_period});
+    for (auto& item : announcements_of(notices)) {
+        send_unconfirmed(item, now, output);
+        m_announcements.push_back(std::move(item));
     }
     return output;
 }
@@ -279,26 +285,36 @@
         {recipient, contact, peer::ping{number, news_for(recipient)}, delivery::datagram});
 }
 
-void member_table::send_to_working(const std::vector<peer::endpoint_notice>& notices,
-                                   member_output& output) const
+std::vector<member_table::announcement>
+member_table::announcements_of(const std::vector<peer::endpoint_notice>& notices)
 {
-    std::vector<peer::endpoint_notices> datagrams;
+    std::set<instance_id> recipients;
+    for (const auto& [id, member] : m_members) {
+        if (member.working())
+            recipients.insert(id);
+    }
+    std::vector<announcement> result;
     std::size_t left = 0;
     for (const auto& notice : notices) {
         const std::size_t size = encoded_size(notice);
         if (size > left) {
-            datagrams.emplace_back();
+            result.push_back({{m_next_number++, {}}, recipients, m_options.announcements, {}});
             left = news_budget;
         }
         left -= std::min(left, size);
-        datagrams.back().notices.push_back(notice);
+        result.back().notices.notices.push_back(notice);
     }
-    for (const auto& [id, member] : m_members) {
-        if (!member.working())
-            continue;
-        for (const auto& datagram : datagrams)
-            output.messages.push_back({id, member.contact, datagram, delivery::datagram});
+    return result;
+}
+
+void member_table::send_unconfirmed(announcement& item, monotonic_time now, member_output& output) const
+{
+    for (const auto& id : item.unconfirmed) {
+        if (const auto found = m_members.find(id); found != m_members.end() && found->second.working())
+            output.messages.push_back({id, found->second.contact, item.notices, delivery::datagram});
     }
+    --item.remaining;
+    item.next_at = now + m_options.announcement_period;
 }
 
 // Always tells the recipient about this process, so that an unknown one learns its incarnation, and about
--- a/Libraries/membership/tests/member_table_test.cpp
+++ b/Libraries/membership/tests/member_table_test.cpp
@@ -178,6 +178,33 @@
     }));
 }
 
+TEST_CASE("an announcement is repeated to the members that have not confirmed it, and to no others")
+{
+    // Guards against a leaving endpoint that one process does not hear of because three datagrams were lost.
+    virtual_network network(3, 0, 1);
+    network.list(virtual_network::list_of(3));
+    network.run(milliseconds(10000));
+    std::map<std::size_t, std::size_t> announced;
+    network.on_send = [&](std::size_t, const outgoing_message& message) {
+        if (std::holds_alternative<peer::endpoint_notices>(message.body))
+            ++announced[virtual_network::index_of(message.recipient)];
+    };
+    network.reachable = [](std::size_t from, std::size_t to) {
+        return from != 0 || to != 2;
+    };
+    const std::vector<peer::endpoint_notice> notices{
+        {endpoint_id("m-3"), peer::endpoint_state::leaving, 5'000'000}};
+    network.perform(0, network.nodes[0].members.announce(network.now, notices));
+    network.run(milliseconds(1000));
+    CHECK(announced[1] == 1);
+    CHECK(announced[2] > 3);
+    network.reachable = {};
+    network.run(milliseconds(500));
+    const auto until_heard = announced[2];
+    network.run(milliseconds(2000));
+    CHECK(announced[2] == until_heard);
+}
+
 TEST_CASE("at 30% loss for 20 minutes, every false suspicion is refuted before it expires")
 {
     virtual_network network(14, 0.3, 7);
--- a/Libraries/peer/include/siskinwharf/peer/messages.h
+++ b/Libraries/peer/include/siskinwharf/peer/messages.h
@@ -117,8 +117,10 @@
     auto operator<=>(const load_report&) const = default;
 };
 
-/// Reports leaving or dead endpoints directly, without waiting for the next probe.
+/// Reports leaving or dead endpoints directly, without waiting for the next probe. The recipient confirms it
+/// with an `ack` of the same number.
 struct endpoint_notices {
+    std::uint64_t number = 0; ///< 0: from a process that expects no confirmation.
     std::vector<endpoint_notice> notices;
 
     auto operator<=>(const endpoint_notices&) const = default;
--- a/Libraries/peer/peer.thrift
+++ b/Libraries/peer/peer.thrift
@@ -62,6 +62,7 @@
 
 struct endpoint_notices {
   1: list<endpoint_notice> notices
+  2: i64 number
 }
 
 struct summary_row {
--- a/Libraries/peer/src/conversion.cpp
+++ b/Libraries/peer/src/conversion.cpp
@@ -287,13 +287,14 @@
 wire::endpoint_notices to_wire(const endpoint_notices& value)
 {
     wire::endpoint_notices result;
+    result.number = to_signed(value.number);
     result.notices = list_to_wire(value.notices);
     return result;
 }
 
 endpoint_notices from_wire(const wire::endpoint_notices& value)
 {
-    return {list_from_wire(value.notices)};
+    return {to_unsigned(value.number), list_from_wire(value.notices)};
 }
 
 wire::summary_request to_wire(const summary_request& value)
--- a/Libraries/peer/tests/frame_test.cpp
+++ b/Libraries/peer/tests/frame_test.cpp
@@ -45,7 +45,7 @@
         member_join{news.members.front()},
         member_sync{news},
         load_report{{{UINT32_MAX, 3, 5, 9}, {0, 0, 0, UINT32_MAX}}},
-        endpoint_notices{news.endpoints},
+        endpoint_notices{UINT64_MAX, news.endpoints},
         summary_request{summary, {{failure_domain_id("montego"), 98}}},
         summary_reply{{summary, summary}},
         sheet_request{7},
