--- a/Meta/lint.sh
+++ b/Meta/lint.sh
@@ -1,14 +1,13 @@
 #!/usr/bin/env bash
-# Runs clang-tidy on every source file of the project, in parallel. Files that passed once with the same content
-# of the whole tree's headers and the same configuration are not checked again.
+# Runs clang-tidy on every source file of the project, in parallel. Files that passed once with the same content,
+# the same headers of the project and the same configuration are not checked again.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build="${1:-build}"
 shift || true
 cache="${SISKINWHARF_LINT_CACHE:-${XDG_CACHE_HOME:-$HOME/.cache}/siskinwharf-lint}"
 mkdir -p "$cache"
-headers=$(git ls-files --cached --others --exclude-standard -- '*.h' .clang-tidy | sort | xargs sha256sum | sha256sum | cut -c1-64)
-export build cache headers
+export build cache
 # clang-tidy 14 takes the "0" in the rewritten comparison of a defaulted operator<=> for a null pointer. Removes
 # these reports, and no others; each is a line with the place, then the source line and two marker lines.
 remove_false_reports() {
@@ -22,8 +21,7 @@
         !dropped { print }'
 }
 check_one() {
-    local file="$1" key output status=0
-    key=$( (echo "$headers"; sha256sum <"$file"; echo "$file") | sha256sum | cut -c1-64)
+    local key="${1%%$'\t'*}" file="${1#*$'\t'}" output status=0
     [ -e "$cache/$key" ] && return 0
     output=$(clang-tidy-14 --quiet -p "$build" "$file" 2>/dev/null) || status=$?
     # Without any report, a failure is one of clang-tidy itself.
@@ -45,4 +43,4 @@
 else
     mapfile -t files < <(git ls-files --cached --others --exclude-standard -- '*.cpp' ':!:*/generated/*')
 fi
-printf '%s\n' "${files[@]}" | xargs -P "$(nproc)" -I{} bash -c 'check_one "$1"' _ {}
+printf '%s\n' "${files[@]}" | Meta/lint-keys.py "$build" | xargs -d '\n' -P "$(nproc)" -I{} bash -c 'check_one "$1"' _ {}
