--- a/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_board.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_board.h
@@ -60,7 +60,7 @@
     std::uint32_t running_before = 0; ///< Requests at the endpoint when this one was sent.
     std::uint64_t held_tokens = 0;
     monotonic_time started{};
-    bool has_first_event = false;
+    std::optional<monotonic_time> first_event_at;
 };
 
 /// Decides which endpoint serves a request, from the list of endpoints, this process's own requests and what
--- a/Libraries/dispatch/src/endpoint_board.cpp
+++ b/Libraries/dispatch/src/endpoint_board.cpp
@@ -233,9 +233,9 @@
 
 void endpoint_board::first_event(attempt_ticket& ticket, monotonic_time now)
 {
-    if (ticket.has_first_event)
+    if (ticket.first_event_at)
         return;
-    ticket.has_first_event = true;
+    ticket.first_event_at = now;
     const auto found = m_endpoints.find(ticket.endpoint);
     if (found != m_endpoints.end() && found->second.record.started_ms == ticket.started_ms)
         found->second.waiting_tokens -= std::min(found->second.waiting_tokens, ticket.reading_tokens);
@@ -265,7 +265,7 @@
         return;
     auto& state = found->second;
     state.running -= std::min(state.running, 1U);
-    if (!ticket.has_first_event)
+    if (!ticket.first_event_at)
         state.waiting_tokens -= std::min(state.waiting_tokens, ticket.reading_tokens);
     state.held_tokens -= std::min(state.held_tokens, ticket.held_tokens);
     if (result == attempt_result::cancelled)
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -196,14 +196,19 @@
                {"candidates", std::to_string(chosen.candidates)},
                {"attempt", std::to_string(m_tried.size())}});
     const auto end = co_await send(endpoint, ticket, chosen.expected);
-    log_event(event::attempt_ended,
-              {{"request", m_call.id.value()},
-               {"endpoint", endpoint.id.value()},
-               {"outcome", std::string(to_string(end))},
-               {"events", std::to_string(m_events.events())},
-               {"taken_ms",
-                std::to_string(
-                    duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_started).count())}});
+    log_event(
+        event::attempt_ended,
+        {{"request", m_call.id.value()},
+         {"endpoint", endpoint.id.value()},
+         {"outcome", std::string(to_string(end))},
+         {"events", std::to_string(m_events.events())},
+         {"first_event_ms",
+          ticket.first_event_at
+              ? std::to_string(duration_cast<milliseconds>(*ticket.first_event_at - ticket.started).count())
+              : "none"},
+         {"taken_ms",
+          std::to_string(
+              duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_started).count())}});
     co_return end;
 }
 
