Exchange: Tell near peers at once where long prompts wait

Cause: processes learnt of each other's requests every 250 to 500 ms, so that several of them sent long prompts to the engine that had been idle. Ruled out: the reading speed, which is right where no prompts collide. Change: a process tells the peers of its region at once which engines its long prompts wait at; their number bounds how often.

--- a/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_board.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_board.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string_view>
@@ -72,6 +73,12 @@
     /// Replaces the list of endpoints. What is known of those that stay is kept.
     void set_endpoints(const std::vector<endpoint_record>& endpoints);
     void set_peer_loads(const std::vector<endpoint_load>& loads);
+    /// Replaces what one peer said.
+    void change_peer_loads(const std::vector<endpoint_load>& before, const std::vector<endpoint_load>& after);
+    /// Own loads that peers should know at once: their waiting tokens changed much since the last call.
+    [[nodiscard]] std::vector<endpoint_load> take_changed_loads();
+    /// Is called when `take_changed_loads` has something new.
+    void on_changed_load(std::function<void()> listener) { m_on_changed_load = std::move(listener); }
 
     /// `budget` is the time in which the answer must begin. Endpoints of `tried` are passed over.
     [[nodiscard]] placement_decision place(const deployment::service& wanted, const workload& work,
@@ -110,11 +117,15 @@
     [[nodiscard]] double preference_ms(const endpoint_state& state) const;
     [[nodiscard]] std::uint64_t reading_tokens(const endpoint_state& state, const workload& work) const;
     [[nodiscard]] const service_times& times_of(const service_id& service) const;
+    void note_change(const endpoint_state& state);
+    void add_peer_loads(const std::vector<endpoint_load>& loads);
 
     board_settings m_settings;
     std::unordered_map<endpoint_id, endpoint_state> m_endpoints;
     std::map<service_id, std::vector<endpoint_id>> m_by_service;
     std::map<service_id, service_times> m_times;
+    std::map<endpoint_id, std::uint64_t> m_told_tokens; ///< Waiting tokens as peers know them; 0 if absent.
+    std::function<void()> m_on_changed_load;
 };
 
 } // namespace siskinwharf::dispatch
--- a/Libraries/dispatch/src/endpoint_board.cpp
+++ b/Libraries/dispatch/src/endpoint_board.cpp
@@ -37,6 +37,8 @@
 /// Reading a part again delays the requests after it too, and is billed: it weighs more than the own wait.
 constexpr double reading_weight = 2;
 constexpr std::uint64_t default_cache_tokens = 400'000;
+/// A change of an engine's waiting tokens that peers are to know at once: about 20 ms of reading.
+constexpr std::uint64_t notable_tokens = 1'200;
 
 std::uint64_t preference(std::uint64_t key, const endpoint_id& endpoint)
 {
@@ -85,6 +87,11 @@
         state.peers_running = 0;
         state.peers_waiting_tokens = 0;
     }
+    add_peer_loads(loads);
+}
+
+void endpoint_board::add_peer_loads(const std::vector<endpoint_load>& loads)
+{
     for (const auto& load : loads) {
         if (const auto found = m_endpoints.find(load.endpoint); found != m_endpoints.end()) {
             found->second.peers_running += load.running;
@@ -93,6 +100,44 @@
     }
 }
 
+void endpoint_board::change_peer_loads(const std::vector<endpoint_load>& before,
+                                       const std::vector<endpoint_load>& after)
+{
+    for (const auto& load : before) {
+        if (const auto found = m_endpoints.find(load.endpoint); found != m_endpoints.end()) {
+            auto& state = found->second;
+            state.peers_running -= std::min(state.peers_running, load.running);
+            state.peers_waiting_tokens -= std::min(state.peers_waiting_tokens, load.waiting_tokens);
+        }
+    }
+    add_peer_loads(after);
+}
+
+void endpoint_board::note_change(const endpoint_state& state)
+{
+    const auto told = m_told_tokens.find(state.record.id);
+    const auto known = told == m_told_tokens.end() ? 0 : told->second;
+    const auto difference = std::max(known, state.waiting_tokens) - std::min(known, state.waiting_tokens);
+    if (difference >= notable_tokens && m_on_changed_load)
+        m_on_changed_load();
+}
+
+std::vector<endpoint_load> endpoint_board::take_changed_loads()
+{
+    std::vector<endpoint_load> changed;
+    std::map<endpoint_id, std::uint64_t> told;
+    for (const auto& [id, state] : m_endpoints) {
+        const auto before = m_told_tokens.find(id);
+        const auto known = before == m_told_tokens.end() ? 0 : before->second;
+        if (state.waiting_tokens != known)
+            changed.push_back({id, state.running, state.waiting_tokens});
+        if (state.waiting_tokens > 0)
+            told.emplace(id, state.waiting_tokens);
+    }
+    m_told_tokens = std::move(told);
+    return changed;
+}
+
 const endpoint_board::service_times& endpoint_board::times_of(const service_id& service) const
 {
     static const service_times defaults;
@@ -224,6 +269,7 @@
     ++state.running;
     state.waiting_tokens += ticket.reading_tokens;
     state.held_tokens += ticket.held_tokens;
+    note_change(state);
     if (wanted.engine) {
         const auto capacity = wanted.engine->cache_tokens;
         state.cache.add(work.parts, capacity == 0 ? default_cache_tokens : capacity);
@@ -237,8 +283,10 @@
         return;
     ticket.first_event_at = now;
     const auto found = m_endpoints.find(ticket.endpoint);
-    if (found != m_endpoints.end() && found->second.record.started_ms == ticket.started_ms)
+    if (found != m_endpoints.end() && found->second.record.started_ms == ticket.started_ms) {
         found->second.waiting_tokens -= std::min(found->second.waiting_tokens, ticket.reading_tokens);
+        note_change(found->second);
+    }
     const auto tokens = static_cast<double>(ticket.reading_tokens + ticket.tokens_ahead);
     const auto waited =
         std::chrono::duration<double, std::milli>(now - ticket.started).count() - first_event_ms;
--- a/Libraries/dispatch/tests/endpoint_board_test.cpp
+++ b/Libraries/dispatch/tests/endpoint_board_test.cpp
@@ -62,6 +62,32 @@
     CHECK(placed(board.place(model_service(), plan(5), {}, target, now + seconds(3))) == first);
 }
 
+TEST_CASE("long prompts that two processes place at the same moment go to different engines")
+{
+    // Guards against a choice by the state of 250 ms ago: both processes take the engine that was idle then.
+    auto first = make_board();
+    auto second = make_board();
+    int updates = 0;
+    first.on_changed_load([&] { ++updates; });
+    const monotonic_time now{};
+    const workload prompt{12'000, 400, {{1, 12'000}}, 0};
+    const auto chosen = placed(first.place(model_service(), prompt, {}, target, now));
+    REQUIRE(placed(second.place(model_service(), prompt, {}, target, now)) == chosen);
+    auto ticket = first.start(model_service(), chosen, prompt, now);
+    REQUIRE(updates == 1);
+    const auto told = first.take_changed_loads();
+    REQUIRE(told == std::vector<endpoint_load>{{chosen, 1, 12'000}});
+    second.change_peer_loads({}, told);
+    CHECK(placed(second.place(model_service(), prompt, {}, target, now)) != chosen);
+    first.first_event(ticket, now + milliseconds(200));
+    CHECK(updates == 2);
+    const auto read = first.take_changed_loads();
+    REQUIRE(read == std::vector<endpoint_load>{{chosen, 1, 0}});
+    second.change_peer_loads(told, read);
+    CHECK(second.find(chosen)->peers_waiting_tokens == 0);
+    CHECK(second.find(chosen)->peers_running == 1);
+}
+
 TEST_CASE("a hot subject spreads over engines and regions and is refused when all are full")
 {
     auto board = make_board();
--- a/Libraries/exchange/exchange.thrift
+++ b/Libraries/exchange/exchange.thrift
@@ -32,6 +32,13 @@
   4: i64 remaining_ms
 }
 
+// Told at once to near peers. Its numbers differ from those of process_state, so that neither is read as the other.
+struct load_update {
+  101: string process
+  102: i64 start
+  103: list<endpoint_load> loads
+}
+
 struct process_state {
   1: string process
   2: i64 start
--- a/Libraries/exchange/include/siskinwharf/exchange/process_state.h
+++ b/Libraries/exchange/include/siskinwharf/exchange/process_state.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "siskinwharf/admission/quarantine.h"
@@ -54,11 +55,26 @@
     bool operator==(const process_state&) const = default;
 };
 
+/// What changed at endpoints since the process's last message, told at once: several processes that place
+/// requests by an old state would choose the same endpoint. A lost one is made good by the next
+/// `process_state`.
+struct load_update {
+    instance_id process;
+    std::uint64_t start = 0;
+    std::vector<dispatch::endpoint_load>
+        loads; ///< All of the process's requests at the endpoints that it names.
+
+    bool operator==(const load_update&) const = default;
+};
+
+using message = std::variant<process_state, load_update>;
+
 /// Largest datagram in bytes: what fits into one UDP datagram of IPv4.
 inline constexpr std::size_t largest_datagram = 60'000;
 
 [[nodiscard]] std::string encode(const process_state& state);
+[[nodiscard]] std::string encode(const load_update& update);
 /// Throws `exchange_error` for anything that `encode` does not produce.
-[[nodiscard]] process_state decode(std::string_view datagram);
+[[nodiscard]] message decode(std::string_view datagram);
 
 } // namespace siskinwharf::exchange
--- a/Libraries/exchange/src/process_state.cpp
+++ b/Libraries/exchange/src/process_state.cpp
@@ -1,6 +1,7 @@
 #include "siskinwharf/exchange/process_state.h"
 
 #include <memory>
+#include <optional>
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -39,6 +40,28 @@
     return value < 0 ? 0 : static_cast<std::uint32_t>(value);
 }
 
+std::vector<wire::endpoint_load> to_wire(const std::vector<dispatch::endpoint_load>& loads)
+{
+    std::vector<wire::endpoint_load> result;
+    for (const auto& load : loads) {
+        auto& entry = result.emplace_back();
+        entry.endpoint = load.endpoint.value();
+        entry.running = static_cast<std::int32_t>(load.running);
+        entry.waiting_tokens = to_signed(load.waiting_tokens);
+    }
+    return result;
+}
+
+std::vector<dispatch::endpoint_load> from_wire(const std::vector<wire::endpoint_load>& loads)
+{
+    std::vector<dispatch::endpoint_load> result;
+    result.reserve(loads.size());
+    for (const auto& load : loads)
+        result.push_back(
+            {endpoint_id(load.endpoint), to_count(load.running), to_amount(load.waiting_tokens)});
+    return result;
+}
+
 wire::process_state to_wire(const process_state& value)
 {
     wire::process_state result;
@@ -53,12 +76,7 @@
     result.is_leaving = value.is_leaving;
     result.lease_number = to_signed(value.lease_number);
     result.failure_domain = value.domain.value();
-    for (const auto& load : value.loads) {
-        auto& entry = result.loads.emplace_back();
-        entry.endpoint = load.endpoint.value();
-        entry.running = static_cast<std::int32_t>(load.running);
-        entry.waiting_tokens = to_signed(load.waiting_tokens);
-    }
+    result.loads = to_wire(value.loads);
     for (const auto& use : value.accounts) {
         auto& entry = result.accounts.emplace_back();
         entry.account = use.account.value();
@@ -102,9 +120,7 @@
     result.is_leaving = value.is_leaving;
     result.lease_number = to_unsigned(value.lease_number);
     result.domain = failure_domain_id(value.failure_domain);
-    for (const auto& load : value.loads)
-        result.loads.push_back(
-            {endpoint_id(load.endpoint), to_count(load.running), to_amount(load.waiting_tokens)});
+    result.loads = from_wire(value.loads);
     for (const auto& use : value.accounts)
         result.accounts.push_back(
             {account_id(use.account), to_amount(use.in_window), to_amount(use.per_second)});
@@ -127,34 +143,65 @@
     return result;
 }
 
-} // namespace
+load_update from_wire(const wire::load_update& value)
+{
+    return {instance_id(value.process), to_unsigned(value.start), from_wire(value.loads)};
+}
 
-std::string encode(const process_state& state)
+template<typename Wire>
+std::string write(const Wire& value)
 {
     const auto buffer = std::make_shared<TMemoryBuffer>();
     protocol encoder(buffer);
-    to_wire(state).write(&encoder);
+    value.write(&encoder);
     return buffer->getBufferAsString();
 }
 
-process_state decode(std::string_view datagram)
+/// Nothing if the datagram is another message.
+template<typename Wire>
+std::optional<Wire> read(std::string_view datagram)
 {
-    if (datagram.empty())
-        throw exchange_error("empty datagram");
     // OBSERVE never writes to the buffer; the interface is only missing the const.
     auto* bytes = const_cast<std::uint8_t*>(reinterpret_cast<const std::uint8_t*>(datagram.data()));
     const auto size = static_cast<std::uint32_t>(datagram.size());
     const auto buffer = std::make_shared<TMemoryBuffer>(bytes, size, TMemoryBuffer::OBSERVE);
     protocol input(buffer, static_cast<std::int32_t>(size), container_limit);
-    wire::process_state parsed;
+    Wire parsed;
     try {
         parsed.read(&input);
     } catch (const apache::thrift::TException& error) {
         throw exchange_error(error.what());
     }
     if (buffer->available_read() != 0 || parsed.process.empty())
-        throw exchange_error("not a state message");
-    return from_wire(parsed);
+        return std::nullopt;
+    return parsed;
+}
+
+} // namespace
+
+std::string encode(const process_state& state)
+{
+    return write(to_wire(state));
+}
+
+std::string encode(const load_update& update)
+{
+    wire::load_update result;
+    result.process = update.process.value();
+    result.start = to_signed(update.start);
+    result.loads = to_wire(update.loads);
+    return write(result);
+}
+
+message decode(std::string_view datagram)
+{
+    if (datagram.empty())
+        throw exchange_error("empty datagram");
+    if (const auto state = read<wire::process_state>(datagram))
+        return from_wire(*state);
+    if (const auto update = read<wire::load_update>(datagram))
+        return from_wire(*update);
+    throw exchange_error("not a message of a forwarding process");
 }
 
 } // namespace siskinwharf::exchange
--- a/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include "siskinwharf/exchange/process_state.h"
 #include "siskinwharf/forwarding/deployment_store.h"
@@ -61,7 +62,13 @@
     boost::asio::awaitable<void> send_loop();
     boost::asio::awaitable<void> receive_loop();
     void receive(std::string_view datagram, const std::string& ip);
+    void take(exchange::process_state state, const std::string& ip);
+    void take(const exchange::load_update& update);
     void send_round(monotonic_time now);
+    void schedule_update();
+    void send_changed_loads();
+    void send(const std::string& datagram, const settings::socket_address& address);
+    [[nodiscard]] bool is_near(const peer& entry) const;
     void refresh(monotonic_time now);
     [[nodiscard]] peer_condition condition_of(const peer& entry, monotonic_time now) const;
     [[nodiscard]] milliseconds interval() const;
@@ -78,6 +85,9 @@
     std::uint64_t m_list_version = 0;
     bool m_is_leaving = false;
     std::size_t m_round = 0;
+    boost::asio::steady_timer m_update_timer; ///< Runs while a load update waits to be sent.
+    bool m_is_update_due = false;
+    monotonic_time m_updated{};
 };
 
 } // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/src/peer_exchange.cpp
+++ b/Libraries/forwarding/src/peer_exchange.cpp
@@ -28,6 +28,9 @@
 constexpr milliseconds silence{2'500};
 /// A silent peer is taken for gone after this time.
 constexpr milliseconds longest_silence{60'000};
+/// Between two load updates, for each peer that gets them: it bounds what they cost in a large failure
+/// domain.
+constexpr milliseconds update_gap{2};
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
 } // namespace
@@ -39,7 +42,8 @@
       m_context(context),
       m_socket(context, udp::endpoint(asio::ip::make_address(settings.peers.ip), settings.peers.port)),
       m_seeds(settings.seeds),
-      m_start(start)
+      m_start(start),
+      m_update_timer(context)
 {
 }
 
@@ -47,6 +51,7 @@
 {
     asio::co_spawn(m_context, receive_loop(), asio::detached);
     asio::co_spawn(m_context, send_loop(), asio::detached);
+    m_state.board().on_changed_load([this] { schedule_update(); });
 }
 
 void peer_exchange::add_peers(const std::vector<registered_process>& processes)
@@ -104,25 +109,58 @@
     m_state.describe(own, now);
     const auto datagram = exchange::encode(own);
     ++m_round;
-    const auto send = [&](const settings::socket_address& address) {
-        boost::system::error_code error;
-        const udp::endpoint target(asio::ip::make_address(address.ip, error), address.port);
-        if (!error)
-            m_socket.send_to(asio::buffer(datagram), target, 0, error);
-        // A datagram that cannot be sent counts as lost; the next one replaces it.
-    };
     for (const auto& [id, entry] : m_peers) {
-        const auto domain = entry.state ? entry.state->domain : failure_domain_id();
-        const auto region = m_settings.regions.find(domain);
-        const bool is_near = region == m_settings.regions.end() || region->second == m_settings.region;
-        if (is_near || m_round % other_region_rounds == 0)
-            send(entry.address);
+        if (!entry.state || is_near(entry) || m_round % other_region_rounds == 0)
+            send(datagram, entry.address);
     }
     for (const auto& seed : m_seeds) {
         const bool is_known =
             std::ranges::any_of(m_peers, [&](const auto& item) { return item.second.address.ip == seed.ip; });
         if (!is_known && seed.ip != m_settings.peers.ip && m_round % other_region_rounds == 0)
-            send(seed);
+            send(datagram, seed);
+    }
+}
+
+void peer_exchange::send(const std::string& datagram, const settings::socket_address& address)
+{
+    boost::system::error_code error;
+    const udp::endpoint target(asio::ip::make_address(address.ip, error), address.port);
+    // A datagram that cannot be sent counts as lost; the next one replaces it.
+    if (!error)
+        m_socket.send_to(asio::buffer(datagram), target, 0, error);
+}
+
+bool peer_exchange::is_near(const peer& entry) const
+{
+    if (!entry.state)
+        return false;
+    const auto region = m_settings.regions.find(entry.state->domain);
+    return region == m_settings.regions.end() || region->second == m_settings.region;
+}
+
+void peer_exchange::schedule_update()
+{
+    if (std::exchange(m_is_update_due, true))
+        return;
+    const auto near = std::ranges::count_if(m_peers, [&](const auto& item) { return is_near(item.second); });
+    m_update_timer.expires_at(m_updated + update_gap * near);
+    m_update_timer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            send_changed_loads();
+    });
+}
+
+void peer_exchange::send_changed_loads()
+{
+    m_is_update_due = false;
+    m_updated = std::chrono::steady_clock::now();
+    const exchange::load_update update{m_settings.instance, m_start, m_state.board().take_changed_loads()};
+    if (update.loads.empty())
+        return;
+    const auto datagram = exchange::encode(update);
+    for (const auto& [id, entry] : m_peers) {
+        if (is_near(entry))
+            send(datagram, entry.address);
     }
 }
 
@@ -165,32 +203,57 @@
 
 void peer_exchange::receive(std::string_view datagram, const std::string& ip)
 {
-    const auto now = std::chrono::steady_clock::now();
     try {
-        auto state = exchange::decode(datagram);
-        if (state.process == m_settings.instance)
-            return;
-        auto& entry = m_peers[state.process];
-        const bool is_older =
-            entry.state && entry.state->start == state.start && entry.state->sequence >= state.sequence;
-        if (is_older)
-            return;
-        if (entry.state && entry.state->start != state.start) {
-            entry.former = std::move(entry.state);
-            entry.former_heard = entry.heard;
-            entry.state.reset();
-        }
-        if (!entry.state)
-            log_event(event::peer_alive, {{"peer", state.process.value()}, {"address", ip}});
-        entry.address = {ip, state.port};
-        entry.heard = now;
-        m_state.merge_peer(state, now);
-        entry.state = std::move(state);
+        auto message = exchange::decode(datagram);
+        if (auto* state = std::get_if<exchange::process_state>(&message))
+            take(std::move(*state), ip);
+        else
+            take(std::get<exchange::load_update>(message));
     } catch (const exchange::exchange_error& error) {
         log_event(event::peer_message_rejected, {{"address", ip}, {"reason", error.what()}});
     }
 }
 
+void peer_exchange::take(exchange::process_state state, const std::string& ip)
+{
+    if (state.process == m_settings.instance)
+        return;
+    const auto now = std::chrono::steady_clock::now();
+    auto& entry = m_peers[state.process];
+    const bool is_older =
+        entry.state && entry.state->start == state.start && entry.state->sequence >= state.sequence;
+    if (is_older)
+        return;
+    if (entry.state && entry.state->start != state.start) {
+        entry.former = std::move(entry.state);
+        entry.former_heard = entry.heard;
+        entry.state.reset();
+    }
+    if (!entry.state)
+        log_event(event::peer_alive, {{"peer", state.process.value()}, {"address", ip}});
+    entry.address = {ip, state.port};
+    entry.heard = now;
+    m_state.merge_peer(state, now);
+    if (entry.state)
+        m_state.board().change_peer_loads(entry.state->loads, state.loads);
+    entry.state = std::move(state);
+}
+
+void peer_exchange::take(const exchange::load_update& update)
+{
+    const auto found = m_peers.find(update.process);
+    if (found == m_peers.end() || !found->second.state || found->second.state->start != update.start)
+        return;
+    auto& known = found->second.state->loads;
+    auto loads = known;
+    for (const auto& load : update.loads) {
+        std::erase_if(loads, [&](const auto& entry) { return entry.endpoint == load.endpoint; });
+        loads.push_back(load);
+    }
+    m_state.board().change_peer_loads(known, loads);
+    known = std::move(loads);
+}
+
 bool peer_exchange::hears_holder() const
 {
     constexpr milliseconds holder_silence{1'500};
