Control: Keep the use of engines low with reclaimable endpoints

Cause: an engine that reads prompts in most of its steps writes an event in 170 ms instead of 20 ms. A reclaimable endpoint costs 0.18 of an on-demand one, so that ease is cheap. Change: reclaimable endpoints up to a use of 0.25; on-demand ones as far as the load of now needs them (0.65) after the loss of a failure domain's reclaimable ones; on-demand ones are replaced before the first load.

--- a/Libraries/control/include/siskinwharf/control/endpoint_planner.h
+++ b/Libraries/control/include/siskinwharf/control/endpoint_planner.h
@@ -70,11 +70,17 @@
     [[nodiscard]] std::vector<double> highest_demands(const service_situation& situation, monotonic_time now);
     void keep_floor(const service_situation& situation, const std::vector<double>& demands,
                     std::vector<endpoint_count>& wanted) const;
+    /// Raises the numbers of reclaimable endpoints until all together carry the demand with ease.
+    void add_reclaimable(const service_situation& situation, double demand,
+                         std::vector<endpoint_count>& wanted, monotonic_time now) const;
+    [[nodiscard]] bool may_have_reclaimable(const service_situation& situation,
+                                            const failure_domain_id& domain, monotonic_time now) const;
     [[nodiscard]] std::uint32_t starting(const offer& key, std::uint32_t serving, monotonic_time now) const;
     [[nodiscard]] capacity_situation situation_of(const service_situation& situation, double demand,
                                                   monotonic_time now) const;
     /// Endpoints that are ordered ahead of the first requests.
-    [[nodiscard]] std::vector<endpoint_count> first_orders(const service_situation& situation) const;
+    [[nodiscard]] std::vector<endpoint_count> first_orders(const service_situation& situation,
+                                                           monotonic_time now);
     [[nodiscard]] std::vector<endpoint_count> bounded(const service_situation& situation, double demand,
                                                       std::vector<endpoint_count> wanted,
                                                       monotonic_time now) const;
@@ -86,6 +92,7 @@
     std::map<offer, standing_order> m_orders;
     std::map<failure_domain_id, monotonic_time> m_refusals;               ///< Of reclaimable endpoints.
     std::deque<std::pair<monotonic_time, std::vector<double>>> m_demands; ///< In the order of the domains.
+    std::map<failure_domain_id, std::uint32_t> m_first_on_demand; ///< That stood there before any load.
     monotonic_time m_first_demand_at{};
 };
 
--- a/Libraries/control/src/endpoint_planner.cpp
+++ b/Libraries/control/src/endpoint_planner.cpp
@@ -9,17 +9,20 @@
 namespace {
 
 /// Share of an endpoint's time that may be used; above it, the wait for the first event grows past the
-/// targets.
-constexpr double target_utilization = 0.75;
+/// targets. Reclaimable endpoints, which cost little, are added up to it.
+constexpr double target_utilization = 0.25;
+/// The same after the loss of all reclaimable endpoints of a failure domain. On-demand endpoints are added
+/// only as far as this needs them.
+constexpr double surviving_utilization = 0.65;
 /// The demand of this time decides, so that a short lull returns nothing.
-constexpr seconds demand_memory{12};
+constexpr seconds demand_memory{8};
 /// A surplus is returned after this time. The memory of the demand is the larger part of the hysteresis.
 constexpr seconds surplus_time{2};
 /// Load is measured for this time before endpoints are returned for the first time.
 constexpr seconds first_measurement{4};
-/// Before there is any load, as many reclaimable endpoints are ordered in each failure domain as this share
-/// of those that stand there, so that the on-demand ones can be returned as soon as the load is known.
-constexpr double first_reclaimable = 0.6;
+/// Before there is any load, each failure domain gets as many reclaimable endpoints as on-demand ones stand
+/// there; when they serve, this share of the on-demand ones stays.
+constexpr double first_on_demand = 0.34;
 /// Share of the work of a failure domain that its on-demand endpoints can carry alone, when all reclaimable
 /// ones are taken at once and no others are to be had.
 constexpr double on_demand_share = 0.6;
@@ -93,6 +96,30 @@
     }
 }
 
+void endpoint_planner::add_reclaimable(const service_situation& situation, double demand,
+                                       std::vector<endpoint_count>& wanted, monotonic_time now) const
+{
+    const auto needed = static_cast<std::uint32_t>(std::ceil(demand / target_utilization));
+    std::uint32_t sum = 0;
+    std::vector<endpoint_count*> extensible;
+    for (auto& entry : wanted) {
+        sum += entry.count;
+        if (entry.kind == instance_kind::reclaimable && may_have_reclaimable(situation, entry.domain, now))
+            extensible.push_back(&entry);
+    }
+    // The failure domain with the fewest is next, so that a reclaim of one takes as little as possible.
+    for (; sum < needed && !extensible.empty(); ++sum)
+        ++(*std::ranges::min_element(extensible, {}, [](const auto* entry) { return entry->count; }))->count;
+}
+
+bool endpoint_planner::may_have_reclaimable(const service_situation& situation,
+                                            const failure_domain_id& domain, monotonic_time now) const
+{
+    const auto refusal = m_refusals.find(domain);
+    const bool is_refused = refusal != m_refusals.end() && now < refusal->second + refusal_memory;
+    return situation.reclaimable_price > 0 && !is_refused;
+}
+
 std::uint32_t endpoint_planner::starting(const offer& key, std::uint32_t serving_count,
                                          monotonic_time now) const
 {
@@ -107,7 +134,7 @@
 {
     capacity_situation result;
     result.demand_streams =
-        static_cast<std::uint32_t>(std::ceil(demand / target_utilization * units_of_endpoint));
+        static_cast<std::uint32_t>(std::ceil(demand / surviving_utilization * units_of_endpoint));
     for (const auto& domain : situation.domains) {
         for (const auto kind : {instance_kind::reclaimable, instance_kind::on_demand}) {
             const auto share = kind == instance_kind::reclaimable ? situation.reclaimable_price : 1.0;
@@ -126,19 +153,24 @@
     return result;
 }
 
-std::vector<endpoint_count> endpoint_planner::first_orders(const service_situation& situation) const
+std::vector<endpoint_count> endpoint_planner::first_orders(const service_situation& situation,
+                                                           monotonic_time now)
 {
-    std::vector<endpoint_count> orders;
+    std::vector<endpoint_count> wanted;
     if (situation.reclaimable_price <= 0)
-        return orders;
+        return wanted;
     for (const auto& domain : situation.domains) {
-        const auto room = situation.maximum - std::min(situation.maximum, domain.on_demand);
-        const auto count =
-            std::min(static_cast<std::uint32_t>(std::ceil(domain.on_demand * first_reclaimable)), room);
-        if (domain.reclaimable < count && !m_orders.contains({domain.domain, instance_kind::reclaimable}))
-            orders.push_back({domain.domain, instance_kind::reclaimable, count});
+        auto& first = m_first_on_demand[domain.domain];
+        first = std::max(first, domain.on_demand);
+        const auto replacements = std::min(first, situation.maximum - std::min(situation.maximum, first));
+        const auto kept = static_cast<std::uint32_t>(std::ceil(first * first_on_demand));
+        wanted.push_back(
+            {domain.domain, instance_kind::reclaimable, std::max(domain.reclaimable, replacements)});
+        const bool is_replaced = replacements > 0 && domain.reclaimable >= replacements;
+        wanted.push_back({domain.domain, instance_kind::on_demand,
+                          is_replaced ? std::max(kept, situation.minimum) : domain.on_demand});
     }
-    return orders;
+    return changed(situation, wanted, now);
 }
 
 std::vector<endpoint_count> endpoint_planner::plan(const service_situation& situation, monotonic_time now)
@@ -146,10 +178,13 @@
     const auto demands = highest_demands(situation, now);
     const auto demand = std::accumulate(demands.begin(), demands.end(), 0.0);
     if (demand <= 0)
-        return first_orders(situation);
+        return first_orders(situation, now);
     if (m_first_demand_at == monotonic_time{})
         m_first_demand_at = now;
-    const auto planned_for = situation_of(situation, demand, now);
+    double current = 0;
+    for (const auto& domain : situation.domains)
+        current += domain.busy;
+    const auto planned_for = situation_of(situation, current, now);
     const auto planned = m_planner.plan(planned_for, now);
     std::vector<endpoint_count> wanted;
     for (const auto& option : planned_for.offers) {
@@ -158,6 +193,7 @@
         wanted.push_back({option.key.domain, option.key.kind, count});
     }
     keep_floor(situation, demands, wanted);
+    add_reclaimable(situation, demand, wanted, now);
     if (now < m_first_demand_at + first_measurement) {
         for (auto& entry : wanted)
             entry.count = std::max(entry.count, serving(find_domain(situation, entry.domain), entry.kind));
@@ -169,16 +205,11 @@
                                                       std::vector<endpoint_count> wanted,
                                                       monotonic_time now) const
 {
-    const auto may_have_reclaimable = [&](const endpoint_count& entry, monotonic_time at) {
-        const auto refusal = m_refusals.find(entry.domain);
-        const bool is_refused = refusal != m_refusals.end() && at < refusal->second + refusal_memory;
-        return situation.reclaimable_price > 0 && !is_refused;
-    };
     std::uint32_t serving_after = 0;
     for (const auto& entry : wanted)
         serving_after += std::min(entry.count, serving(find_domain(situation, entry.domain), entry.kind));
     // Nothing is returned while what would be left serving cannot carry the load.
-    if (serving_after < std::ceil(demand / target_utilization)) {
+    if (serving_after < std::ceil(demand / surviving_utilization)) {
         for (auto& entry : wanted)
             entry.count = std::max(entry.count, serving(find_domain(situation, entry.domain), entry.kind));
     }
@@ -192,7 +223,7 @@
             auto& sum = counted[entry.domain];
             entry.count = std::min(entry.count, situation.maximum - std::min(situation.maximum, sum));
             const bool fills_minimum =
-                (kind == instance_kind::reclaimable) == may_have_reclaimable(entry, now);
+                (kind == instance_kind::reclaimable) == may_have_reclaimable(situation, entry.domain, now);
             if (fills_minimum && sum + entry.count < situation.minimum)
                 entry.count = situation.minimum - sum;
             sum += entry.count;
--- a/Libraries/control/tests/endpoint_planner_test.cpp
+++ b/Libraries/control/tests/endpoint_planner_test.cpp
@@ -100,6 +100,45 @@
         CHECK(domain.reclaimable + domain.on_demand >= 2);
 }
 
+TEST_CASE(
+    "before any load, reclaimable endpoints take the place of on-demand ones, and no fewer serve meanwhile")
+{
+    // Guards against a first look at a list that is still empty: nothing was replaced then.
+    fake_platform platform;
+    const auto listed = platform.situation.domains;
+    for (auto& domain : platform.situation.domains)
+        domain.on_demand = 0;
+    monotonic_time now{seconds(1)};
+    platform.step(now);
+    platform.situation.domains = listed;
+    for (int step = 0; step < 20; ++step, now += milliseconds(500)) {
+        platform.step(now);
+        CHECK(platform.serving() >= 18);
+    }
+    for (const auto& domain : platform.situation.domains) {
+        CHECK(domain.reclaimable == 6);
+        CHECK(domain.on_demand == 3);
+    }
+}
+
+TEST_CASE("reclaimable endpoints keep the use low, on-demand ones only carry the load through a reclaim")
+{
+    // Guards against long answers: an engine that reads prompts half of the time writes at a third of its
+    // speed.
+    fake_platform platform;
+    monotonic_time now{seconds(1)};
+    for (int step = 0; step < 60; ++step, now += milliseconds(500)) {
+        set_busy(platform.situation, step < 20 ? 0 : 4.5);
+        platform.step(now);
+    }
+    CHECK(platform.serving() >= 4.5 / 0.3);
+    std::uint32_t on_demand = 0;
+    for (const auto& domain : platform.situation.domains)
+        on_demand += domain.on_demand;
+    CHECK(on_demand <= 3);
+    CHECK(platform.cost() < 6);
+}
+
 TEST_CASE("nothing is returned before the first load was measured")
 {
     fake_platform platform;
