Forwarding: Let two processes of a failure domain read the store for all

Cause: each process watched configuration and endpoints in the store. Where a failure domain has five processes or more, two read, picked by hash; the others hear of new versions at once and fetch what changed from them. A process reads itself when it does not hear of two readers to whom the store answered in the last 1.6 s.

--- /dev/null
+++ b/Libraries/dispatch/tests/store_readers_test.cpp
@@ -0,0 +1,82 @@
+#include <catch2/catch.hpp>
+
+#include "siskinwharf/dispatch/store_readers.h"
+
+namespace siskinwharf::dispatch {
+
+namespace {
+
+/// Processes of one failure domain that hear each other, step by step.
+struct domain {
+    explicit domain(std::size_t size) : candidates(size)
+    {
+        for (std::size_t index = 0; index < size; ++index)
+            candidates[index].process = instance_id("entry-" + std::to_string(index));
+    }
+
+    void step()
+    {
+        std::vector<bool> reading;
+        for (std::size_t index = 0; index < candidates.size(); ++index)
+            reading.push_back(reads(index));
+        for (std::size_t index = 0; index < candidates.size(); ++index)
+            candidates[index].is_reading = reading[index];
+    }
+
+    [[nodiscard]] bool reads(std::size_t index) const
+    {
+        auto others = candidates;
+        others.erase(others.begin() + static_cast<std::ptrdiff_t>(index));
+        return is_store_reader(candidates[index].process, others);
+    }
+
+    [[nodiscard]] std::vector<std::size_t> readers() const
+    {
+        std::vector<std::size_t> result;
+        for (std::size_t index = 0; index < candidates.size(); ++index) {
+            if (candidates[index].is_reading)
+                result.push_back(index);
+        }
+        return result;
+    }
+
+    std::vector<reader_candidate> candidates;
+};
+
+} // namespace
+
+TEST_CASE("two processes of a failure domain read the store, all of a small one")
+{
+    domain small(4);
+    small.step();
+    CHECK(small.readers().size() == 4);
+    domain large(14);
+    large.step();
+    large.step();
+    CHECK(large.readers().size() == 2);
+}
+
+TEST_CASE("nobody relies on a reader whom the store does not answer")
+{
+    // Guards against a failure domain that misses a change because both of its readers are cut off.
+    domain processes(10);
+    processes.step();
+    processes.step();
+    const auto first = processes.readers();
+    REQUIRE(first.size() == 2);
+    for (const auto index : first)
+        processes.candidates[index].answer_age = oldest_reader_answer + milliseconds(1);
+    processes.step();
+    CHECK(processes.readers().size() == 10);
+    processes.step();
+    processes.step();
+    // Those that are cut off go on trying.
+    CHECK(processes.readers().size() == 4);
+    for (const auto index : first)
+        processes.candidates[index].answer_age = milliseconds(0);
+    processes.step();
+    processes.step();
+    CHECK(processes.readers() == first);
+}
+
+} // namespace siskinwharf::dispatch
--- a/Libraries/exchange/exchange.thrift
+++ b/Libraries/exchange/exchange.thrift
@@ -33,10 +33,14 @@
 }
 
 // Told at once to near peers. Its numbers differ from those of process_state, so that neither is read as the other.
-struct load_update {
+struct near_update {
   101: string process
   102: i64 start
   103: list<endpoint_load> loads
+  104: i64 configuration_version
+  105: i64 list_version
+  106: bool is_reading
+  107: i64 store_answer_age_ms
 }
 
 struct process_state {
--- a/Libraries/exchange/include/siskinwharf/exchange/process_state.h
+++ b/Libraries/exchange/include/siskinwharf/exchange/process_state.h
@@ -55,25 +55,28 @@
     bool operator==(const process_state&) const = default;
 };
 
-/// What changed at endpoints since the process's last message, told at once: several processes that place
-/// requests by an old state would choose the same endpoint. A lost one is made good by the next
-/// `process_state`.
-struct load_update {
+/// What near peers are to know at once. What changed at endpoints: several processes that place requests by
+/// an old state would choose the same one. And what a reader of the store has read, for those that rely on
+/// it. A lost one is made good by the next message.
+struct near_update {
     instance_id process;
     std::uint64_t start = 0;
-    std::vector<dispatch::endpoint_load>
-        loads; ///< All of the process's requests at the endpoints that it names.
+    std::vector<dispatch::endpoint_load> loads; ///< All of the process's requests at the endpoints named.
+    std::uint64_t configuration_version = 0;
+    std::uint64_t list_version = 0;
+    bool is_reading = false;          ///< The process reads the store's changes itself.
+    milliseconds store_answer_age{0}; ///< Since the store last answered; counts while it is reading.
 
-    bool operator==(const load_update&) const = default;
+    bool operator==(const near_update&) const = default;
 };
 
-using message = std::variant<process_state, load_update>;
+using message = std::variant<process_state, near_update>;
 
 /// Largest datagram in bytes: what fits into one UDP datagram of IPv4.
 inline constexpr std::size_t largest_datagram = 60'000;
 
 [[nodiscard]] std::string encode(const process_state& state);
-[[nodiscard]] std::string encode(const load_update& update);
+[[nodiscard]] std::string encode(const near_update& update);
 /// Throws `exchange_error` for anything that `encode` does not produce.
 [[nodiscard]] message decode(std::string_view datagram);
 
--- a/Libraries/exchange/src/process_state.cpp
+++ b/Libraries/exchange/src/process_state.cpp
@@ -143,9 +143,17 @@
     return result;
 }
 
-load_update from_wire(const wire::load_update& value)
+near_update from_wire(const wire::near_update& value)
 {
-    return {instance_id(value.process), to_unsigned(value.start), from_wire(value.loads)};
+    near_update result;
+    result.process = instance_id(value.process);
+    result.start = to_unsigned(value.start);
+    result.loads = from_wire(value.loads);
+    result.configuration_version = to_unsigned(value.configuration_version);
+    result.list_version = to_unsigned(value.list_version);
+    result.is_reading = value.is_reading;
+    result.store_answer_age = milliseconds(value.store_answer_age_ms);
+    return result;
 }
 
 template<typename Wire>
@@ -184,12 +192,16 @@
     return write(to_wire(state));
 }
 
-std::string encode(const load_update& update)
+std::string encode(const near_update& update)
 {
-    wire::load_update result;
+    wire::near_update result;
     result.process = update.process.value();
     result.start = to_signed(update.start);
     result.loads = to_wire(update.loads);
+    result.configuration_version = to_signed(update.configuration_version);
+    result.list_version = to_signed(update.list_version);
+    result.is_reading = update.is_reading;
+    result.store_answer_age_ms = update.store_answer_age.count();
     return write(result);
 }
 
@@ -199,7 +211,7 @@
         throw exchange_error("empty datagram");
     if (const auto state = read<wire::process_state>(datagram))
         return from_wire(*state);
-    if (const auto update = read<wire::load_update>(datagram))
+    if (const auto update = read<wire::near_update>(datagram))
         return from_wire(*update);
     throw exchange_error("not a message of a forwarding process");
 }
--- a/Libraries/exchange/tests/process_state_test.cpp
+++ b/Libraries/exchange/tests/process_state_test.cpp
@@ -36,15 +36,17 @@
     CHECK(decode(encode(make_state())) == message(make_state()));
 }
 
-TEST_CASE("a load update is read back as it was sent and is never taken for a state")
+TEST_CASE("an update for near peers is read back as it was sent and is never taken for a state")
 {
-    const load_update update{instance_id("entry-1"), 7, {{endpoint_id("e-1"), 4, 12'000}}};
+    const near_update update{instance_id("entry-1"), 7, {{endpoint_id("e-1"), 4, 12'000}}, 9, 412, true,
+                             milliseconds(250)};
     CHECK(decode(encode(update)) == message(update));
 }
 
 TEST_CASE("damaged datagrams are an error and never a state")
 {
-    const load_update update{instance_id("entry-1"), 7, {{endpoint_id("e-1"), 4, 12'000}}};
+    const near_update update{instance_id("entry-1"), 7, {{endpoint_id("e-1"), 4, 12'000}}, 9, 412, true,
+                             milliseconds(250)};
     const auto datagram = GENERATE_COPY(encode(make_state()), encode(update));
     CHECK_THROWS_AS(decode(""), exchange_error);
     CHECK_THROWS_AS(decode("hello"), exchange_error);
--- a/Libraries/forwarding/include/siskinwharf/forwarding/deployment_store.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/deployment_store.h
@@ -60,6 +60,11 @@
     auto operator<=>(const registered_process&) const = default;
 };
 
+/// How long the store holds a call that waits for changes, at most. With the time for its answer less than
+/// the four seconds after which the operators count on a store that was away: a call that it left unanswered
+/// must have been given up by then.
+inline constexpr milliseconds longest_feed_wait{2'000};
+
 /// Port to what the platform's store says about the deployment. Each call throws `store_unavailable`.
 class deployment_store {
 public:
@@ -72,9 +77,11 @@
 
     virtual boost::asio::awaitable<stored_configuration> read_configuration() = 0;
     virtual boost::asio::awaitable<endpoint_changes> read_endpoints() = 0;
-    /// Wait until there is something newer than `after`, or for a while. Throw `history_lost` too.
-    virtual boost::asio::awaitable<stored_configuration> next_configuration(std::uint64_t after) = 0;
-    virtual boost::asio::awaitable<endpoint_changes> next_endpoints(std::uint64_t after) = 0;
+    /// Wait until there is something newer than `after`, or for `wait`. Throw `history_lost` too.
+    virtual boost::asio::awaitable<stored_configuration> next_configuration(std::uint64_t after,
+                                                                            milliseconds wait) = 0;
+    virtual boost::asio::awaitable<endpoint_changes> next_endpoints(std::uint64_t after,
+                                                                    milliseconds wait) = 0;
 
     virtual boost::asio::awaitable<std::vector<registered_process>> read_processes() = 0;
     virtual boost::asio::awaitable<void> register_process(registered_process self) = 0;
--- a/Libraries/forwarding/include/siskinwharf/forwarding/deployment_watch.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/deployment_watch.h
@@ -10,14 +10,16 @@
 
 #include "siskinwharf/dispatch/endpoint_listing.h"
 #include "siskinwharf/forwarding/deployment_store.h"
+#include "siskinwharf/forwarding/known_entries.h"
 #include "siskinwharf/forwarding/peer_exchange.h"
 #include "siskinwharf/forwarding/traffic_state.h"
 #include "siskinwharf/http/client.h"
 
 namespace siskinwharf::forwarding {
 
-/// Keeps the configuration and the list of endpoints up to date: from the store, and from peers while the
-/// store does not answer this process.
+/// Keeps the configuration and the list of endpoints up to date: from the store, or from peers, which are
+/// asked while the store does not answer this process, and where two processes of a failure domain read the
+/// store for all.
 class deployment_watch {
 public:
     deployment_watch(boost::asio::io_context& context, deployment_store& store, http::client& client,
@@ -27,8 +29,9 @@
     /// Registers this process so that others find it.
     void register_process(registered_process self);
 
-    /// What this process knows, for peers: JSON with the texts as they were stored.
-    [[nodiscard]] std::string encode_state() const;
+    /// What this process knows beyond these versions, for a peer: JSON with the texts as they were stored.
+    [[nodiscard]] std::string encode_state(std::uint64_t configuration_version,
+                                           std::uint64_t list_version) const;
 
 private:
     boost::asio::awaitable<void> watch_configuration();
@@ -38,13 +41,15 @@
     boost::asio::awaitable<void> expire_endpoints();
 
     void take_configuration(const std::string& text, const char* source);
-    enum class list_source { store_list, store_changes, peer_list };
+    enum class list_source { store_list, store_changes, peer_list, peer_changes };
     void take_endpoints(const endpoint_changes& changes, list_source source);
     void take_peer_state(const std::string& body);
     void endpoint_store_lost(const std::string& reason);
     void endpoint_store_regained();
     void publish_endpoints();
-    void remember(const stored_endpoint& endpoint);
+    [[nodiscard]] bool relies_on_peers() const;
+    void note_answer(monotonic_time& answered);
+    [[nodiscard]] milliseconds feed_wait() const;
     boost::asio::awaitable<void> pause(milliseconds time);
 
     boost::asio::io_context& m_context;
@@ -55,7 +60,10 @@
     std::function<void()> m_on_configuration;
     dispatch::endpoint_listing m_listing;
     std::string m_configuration_text;
-    std::map<endpoint_id, std::string> m_endpoint_texts;
+    known_entries m_entries;
+    boost::asio::steady_timer m_peer_timer; ///< Between two looks at what peers know.
+    monotonic_time m_configuration_answered{};
+    monotonic_time m_list_answered{};
     std::uint64_t m_list_version = 0;
     bool m_is_configuration_lost = true;
     bool m_is_list_lost = true;
--- a/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "siskinwharf/dispatch/store_readers.h"
 #include "siskinwharf/exchange/process_state.h"
 #include "siskinwharf/forwarding/deployment_store.h"
 #include "siskinwharf/forwarding/process_settings.h"
@@ -37,6 +38,16 @@
     /// Facts that other parts of the process own.
     void set_lease_number(std::uint64_t fencing) { m_lease_number = fencing; }
     void set_list_version(std::uint64_t version) { m_list_version = version; }
+    /// Whether this process reads the store's changes, and when the store last answered each of its calls.
+    void set_reading(bool is_reading, monotonic_time answered);
+    /// Tells near peers at once what this process has read.
+    void tell_versions() { schedule_update(); }
+    /// Is called when a near peer has told of newer versions.
+    void on_newer_versions(std::function<void()> listener) { m_on_newer_versions = std::move(listener); }
+    /// Whether this process is to read the store's changes itself.
+    [[nodiscard]] bool is_store_reader() const;
+    /// Whether some processes of the failure domain read the store for all.
+    [[nodiscard]] bool shares_store() const;
     void set_leaving() { m_is_leaving = true; }
 
     /// Whether a peer that is heard says that it holds the duties.
@@ -46,7 +57,10 @@
     /// Work of a service in each failure domain, over all processes that are heard.
     [[nodiscard]] std::map<failure_domain_id, exchange::service_demand>
     demand_of(const service_id& service) const;
-    [[nodiscard]] std::size_t heard_peers() const;
+    /// What all processes counted until this time is known here.
+    [[nodiscard]] monotonic_time all_heard_until(monotonic_time now) const;
+    /// Tells all peers this process's state once more, before it ends.
+    void tell_all();
 
 private:
     struct peer {
@@ -56,19 +70,23 @@
         monotonic_time known{};
         std::optional<exchange::process_state> former; ///< The newest message before the peer started again.
         monotonic_time former_heard{};
+        bool is_reading = false;
+        monotonic_time store_answered{}; ///< While it is reading.
     };
     enum class peer_condition { heard, silent, gone };
 
     boost::asio::awaitable<void> send_loop();
     boost::asio::awaitable<void> receive_loop();
+    boost::asio::awaitable<void> tell_reading();
     void receive(std::string_view datagram, const std::string& ip);
     void take(exchange::process_state state, const std::string& ip);
-    void take(const exchange::load_update& update);
-    void send_round(monotonic_time now);
+    void take(const exchange::near_update& update);
+    void send_round(monotonic_time now, bool is_for_all);
     void schedule_update();
-    void send_changed_loads();
+    void send_update();
     void send(const std::string& datagram, const settings::socket_address& address);
     [[nodiscard]] bool is_near(const peer& entry) const;
+    [[nodiscard]] std::vector<dispatch::reader_candidate> reader_candidates() const;
     void refresh(monotonic_time now);
     [[nodiscard]] peer_condition condition_of(const peer& entry, monotonic_time now) const;
     [[nodiscard]] milliseconds interval() const;
@@ -85,9 +103,12 @@
     std::uint64_t m_list_version = 0;
     bool m_is_leaving = false;
     std::size_t m_round = 0;
-    boost::asio::steady_timer m_update_timer; ///< Runs while a load update waits to be sent.
+    boost::asio::steady_timer m_update_timer; ///< Runs while an update waits to be sent.
     bool m_is_update_due = false;
     monotonic_time m_updated{};
+    bool m_is_reading = false;
+    monotonic_time m_store_answered{};
+    std::function<void()> m_on_newer_versions;
 };
 
 } // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/src/deployment_watch.cpp
+++ b/Libraries/forwarding/src/deployment_watch.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <fmt/format.h>
 
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/http/error.h"
@@ -27,6 +28,10 @@
 constexpr milliseconds registration_pause{20'000};
 constexpr milliseconds peer_timeout{1'000};
 constexpr milliseconds expiry_check{250};
+/// Between looks at whether this process has to read the store itself.
+constexpr milliseconds follow_pause{100};
+/// How long the store holds a call where others rely on this process, see `oldest_reader_answer`.
+constexpr milliseconds shared_feed_wait{1'000};
 /// Changes of the list that come together are taken with one answer of the store.
 constexpr milliseconds list_pause{100};
 
@@ -40,8 +45,10 @@
       m_client(client),
       m_state(state),
       m_peers(peers),
-      m_on_configuration(std::move(on_configuration))
+      m_on_configuration(std::move(on_configuration)),
+      m_peer_timer(context)
 {
+    m_peers.on_newer_versions([this] { m_peer_timer.cancel(); });
 }
 
 void deployment_watch::start()
@@ -82,18 +89,41 @@
     }
 }
 
+bool deployment_watch::relies_on_peers() const
+{
+    return m_has_list && m_state.configuration() != nullptr && !m_peers.is_store_reader();
+}
+
+void deployment_watch::note_answer(monotonic_time& answered)
+{
+    answered = std::chrono::steady_clock::now();
+    m_peers.set_reading(true, std::min(m_configuration_answered, m_list_answered));
+}
+
+milliseconds deployment_watch::feed_wait() const
+{
+    return m_peers.shares_store() ? shared_feed_wait : longest_feed_wait;
+}
+
 asio::awaitable<void> deployment_watch::watch_configuration()
 {
     std::optional<std::uint64_t> version;
     while (true) {
+        if (relies_on_peers()) {
+            version.reset();
+            m_is_configuration_lost = false;
+            co_await pause(follow_pause);
+            continue;
+        }
         bool failed = false;
         try {
             stored_configuration stored;
             if (version)
-                stored = co_await m_store.next_configuration(*version);
+                stored = co_await m_store.next_configuration(*version, feed_wait());
             else
                 stored = co_await m_store.read_configuration();
             version = stored.version;
+            note_answer(m_configuration_answered);
             if (std::exchange(m_is_configuration_lost, false))
                 log_event(event::platform_available, {{"service", "configuration"}});
             if (stored.text)
@@ -120,6 +150,7 @@
             return;
         m_configuration_text = text;
         log_event(event::configuration_in_force, {{"version", std::to_string(version)}, {"source", source}});
+        m_peers.tell_versions();
         m_on_configuration();
     } catch (const invalid_entry& error) {
         log_event(event::configuration_rejected, {{"source", source}, {"reason", error.what()}});
@@ -130,15 +161,24 @@
 {
     std::optional<std::uint64_t> version;
     while (true) {
+        if (relies_on_peers()) {
+            m_peers.set_reading(false, {});
+            version = m_list_version;
+            // The store answers those on whom this process relies.
+            endpoint_store_regained();
+            co_await pause(follow_pause);
+            continue;
+        }
         bool failed = false;
         try {
             const auto source = version ? list_source::store_changes : list_source::store_list;
             endpoint_changes changes;
             if (version)
-                changes = co_await m_store.next_endpoints(*version);
+                changes = co_await m_store.next_endpoints(*version, feed_wait());
             else
                 changes = co_await m_store.read_endpoints();
             version = changes.version;
+            note_answer(m_list_answered);
             endpoint_store_regained();
             take_endpoints(changes, source);
         } catch (const history_lost&) {
@@ -167,25 +207,16 @@
     log_event(event::platform_available, {{"service", "endpoints"}});
 }
 
-void deployment_watch::remember(const stored_endpoint& endpoint)
-{
-    if (endpoint.is_removed)
-        m_endpoint_texts.erase(endpoint.id);
-    else
-        m_endpoint_texts[endpoint.id] = endpoint.text;
-}
-
 void deployment_watch::take_endpoints(const endpoint_changes& changes, list_source source)
 {
-    const bool is_whole_list = source != list_source::store_changes;
+    const bool is_whole_list = source == list_source::store_list || source == list_source::peer_list;
     const auto now = std::chrono::steady_clock::now();
+    const bool is_newer = changes.version > m_list_version;
     m_list_version = std::max(m_list_version, changes.version);
     m_peers.set_list_version(m_list_version);
-    if (is_whole_list)
-        m_endpoint_texts.clear();
+    m_entries.take(changes, is_whole_list);
     std::vector<dispatch::endpoint_record> records;
     for (const auto& endpoint : changes.endpoints) {
-        remember(endpoint);
         if (!endpoint.is_removed && !endpoint.record)
             log_event(event::endpoint_entry_ignored, {{"endpoint", endpoint.id.value()}});
         if (is_whole_list) {
@@ -203,6 +234,8 @@
         m_listing.replace_from_peer(records);
     m_has_list = true;
     publish_endpoints();
+    if (is_newer)
+        m_peers.tell_versions();
 }
 
 void deployment_watch::publish_endpoints()
@@ -242,14 +275,17 @@
 asio::awaitable<void> deployment_watch::watch_peers()
 {
     while (true) {
-        co_await pause(peer_pause);
-        if (!m_is_configuration_lost && !m_is_list_lost)
+        m_peer_timer.expires_after(peer_pause);
+        co_await m_peer_timer.async_wait(asio::as_tuple(asio::use_awaitable));
+        if (!m_is_configuration_lost && !m_is_list_lost && !relies_on_peers())
             continue;
         const auto newer = m_peers.find_newer();
         if (!newer)
             continue;
         try {
-            http::request message{"GET", "/state", "", {}, ""};
+            const auto own = m_state.configuration() ? m_state.configuration()->version() : 0;
+            http::request message{
+                "GET", "/state", fmt::format("configuration={}&list={}", own, m_list_version), {}, ""};
             const http::address target{newer->address.ip, newer->address.port};
             const auto response = co_await m_client.call(target, std::move(message), peer_timeout);
             take_peer_state(response.body);
@@ -259,13 +295,19 @@
     }
 }
 
-std::string deployment_watch::encode_state() const
+std::string deployment_watch::encode_state(std::uint64_t configuration_version,
+                                           std::uint64_t list_version) const
 {
+    const auto changes = m_entries.since(list_version);
     json::array endpoints;
-    for (const auto& [id, text] : m_endpoint_texts)
-        endpoints.push_back(json::object{{"id", id.value()}, {"text", text}});
-    return json::serialize(json::object{{"configuration", m_configuration_text},
+    for (const auto& change : changes.entries)
+        endpoints.push_back(
+            json::object{{"id", change.id.value()}, {"text", change.text}, {"removed", change.is_removed}});
+    const bool has_newer =
+        m_state.configuration() && m_state.configuration()->version() > configuration_version;
+    return json::serialize(json::object{{"configuration", has_newer ? m_configuration_text : std::string()},
                                         {"list_version", m_list_version},
+                                        {"whole_list", changes.is_whole_list},
                                         {"endpoints", std::move(endpoints)}});
 }
 
@@ -277,19 +319,22 @@
         return log_event(event::peer_message_rejected, {{"reason", "the state is no JSON object"}});
     try {
         const auto& state = parsed.as_object();
-        if (const auto& text = state.at("configuration").as_string();
-            m_is_configuration_lost && !text.empty())
+        if (const auto& text = state.at("configuration").as_string(); !text.empty())
             take_configuration(std::string(text), "peer");
         endpoint_changes changes;
         changes.version = state.at("list_version").to_number<std::uint64_t>();
-        if (!m_is_list_lost || changes.version <= m_list_version)
+        if (changes.version <= m_list_version)
             return;
         for (const auto& entry : state.at("endpoints").as_array()) {
             const endpoint_id id{std::string(entry.at("id").as_string())};
-            changes.endpoints.push_back(
-                m_store.decode_endpoint(id, std::string(entry.at("text").as_string())));
+            if (entry.at("removed").as_bool())
+                changes.endpoints.push_back({id, "", std::nullopt, true});
+            else
+                changes.endpoints.push_back(
+                    m_store.decode_endpoint(id, std::string(entry.at("text").as_string())));
         }
-        take_endpoints(changes, list_source::peer_list);
+        const bool is_whole_list = state.at("whole_list").as_bool();
+        take_endpoints(changes, is_whole_list ? list_source::peer_list : list_source::peer_changes);
     } catch (const std::exception& failure) {
         // Boost.JSON reports a member that is missing or of another type with several exception types.
         log_event(event::peer_message_rejected, {{"reason", failure.what()}});
--- a/Libraries/forwarding/src/duty_runner.cpp
+++ b/Libraries/forwarding/src/duty_runner.cpp
@@ -23,6 +23,9 @@
 /// Time that a call to the platform may take; a call is made only while the lease lasts that long.
 constexpr milliseconds call_time{800};
 constexpr milliseconds order_period{1'000};
+/// Before a report is due, the counts of processes that were not heard are waited for no longer: another
+/// holder may have to take over, which takes the time of a lease.
+constexpr milliseconds report_time{4'000};
 constexpr double milliseconds_in_second = 1'000;
 /// Share of an engine's time that its running streams take when all of its slots are used; the rest reads
 /// prompts.
@@ -56,8 +59,8 @@
       m_peers(peers),
       m_lease(failure_domain_id("duties"), fmt::format("{}#{:x}", settings.instance.value(), start),
               lease_settings_of(settings)),
-      m_reports(
-          usage::report_times{settings.bounds.usage_window, settings.bounds.usage_due, milliseconds(2'000)})
+      m_reports(usage::report_times{settings.bounds.usage_window, settings.bounds.usage_due,
+                                    settings.bounds.usage_due - report_time})
 {
 }
 
@@ -147,8 +150,11 @@
             accounts.push_back(account.id);
     }
     for (int count = 0; count < reports_in_a_step && may_call(); ++count) {
-        const auto wall = m_state.clock().now(std::chrono::steady_clock::now());
-        auto action = m_reports.next(wall, m_state.ledger(), accounts);
+        const auto now = std::chrono::steady_clock::now();
+        const auto wall = m_state.clock().now(now);
+        const auto heard_until =
+            wall - std::chrono::duration_cast<milliseconds>(now - m_peers.all_heard_until(now));
+        auto action = m_reports.next(wall, m_state.ledger(), accounts, heard_until);
         if (!action)
             co_return;
         if (auto* store = std::get_if<usage::store_report>(&*action)) {
--- /dev/null
+++ b/Libraries/forwarding/src/known_entries.cpp
@@ -0,0 +1,67 @@
+#include "siskinwharf/forwarding/known_entries.h"
+
+#include <algorithm>
+#include <set>
+
+namespace siskinwharf::forwarding {
+
+namespace {
+
+/// Removed entries that are remembered.
+constexpr std::ptrdiff_t most_removed = 1'000;
+
+} // namespace
+
+void known_entries::set(const endpoint_id& id, std::string text, bool is_removed, std::uint64_t version)
+{
+    auto& known = m_entries[id];
+    if (known.version != 0 && known.text == text && known.is_removed == is_removed)
+        return;
+    known = {std::move(text), version, is_removed};
+}
+
+void known_entries::take(const endpoint_changes& read, bool is_whole_list)
+{
+    std::set<endpoint_id> present;
+    for (const auto& endpoint : read.endpoints) {
+        present.insert(endpoint.id);
+        set(endpoint.id, endpoint.text, endpoint.is_removed, read.version);
+    }
+    if (is_whole_list) {
+        for (const auto& [id, known] : m_entries) {
+            if (!present.contains(id))
+                set(id, "", true, read.version);
+        }
+    }
+    // Before its first whole list, a process does not know what changed.
+    if (is_whole_list && std::exchange(m_is_empty, false))
+        m_complete_after = read.version;
+    forget_removed();
+}
+
+void known_entries::forget_removed()
+{
+    const auto removed =
+        std::ranges::count_if(m_entries, [](const auto& item) { return item.second.is_removed; });
+    if (removed <= most_removed)
+        return;
+    for (const auto& [id, known] : m_entries) {
+        if (known.is_removed)
+            m_complete_after = std::max(m_complete_after, known.version);
+    }
+    std::erase_if(m_entries, [](const auto& item) { return item.second.is_removed; });
+}
+
+known_entries::changes known_entries::since(std::uint64_t version) const
+{
+    changes result;
+    result.is_whole_list = m_is_empty || version < m_complete_after;
+    for (const auto& [id, known] : m_entries) {
+        const bool is_wanted = result.is_whole_list ? !known.is_removed : known.version > version;
+        if (is_wanted)
+            result.entries.push_back({id, known.text, known.is_removed});
+    }
+    return result;
+}
+
+} // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/src/peer_exchange.cpp
+++ b/Libraries/forwarding/src/peer_exchange.cpp
@@ -24,13 +24,17 @@
 constexpr std::size_t peers_at_shortest_interval = 12;
 /// Peers of other regions get each third message: traffic between regions is billed.
 constexpr std::size_t other_region_rounds = 3;
+/// Of a message, between two regions.
+constexpr milliseconds longest_delivery{200};
 /// A peer that was not heard for this time may be dead or cut off.
 constexpr milliseconds silence{2'500};
 /// A silent peer is taken for gone after this time.
 constexpr milliseconds longest_silence{60'000};
-/// Between two load updates, for each peer that gets them: it bounds what they cost in a large failure
+/// Between two updates, for each peer that gets them: it bounds what they cost in a large failure
 /// domain.
 constexpr milliseconds update_gap{2};
+/// Between two updates of a process on whose reading of the store others rely.
+constexpr milliseconds reading_period{250};
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
 } // namespace
@@ -51,6 +55,7 @@
 {
     asio::co_spawn(m_context, receive_loop(), asio::detached);
     asio::co_spawn(m_context, send_loop(), asio::detached);
+    asio::co_spawn(m_context, tell_reading(), asio::detached);
     m_state.board().on_changed_load([this] { schedule_update(); });
 }
 
@@ -89,13 +94,19 @@
     while (true) {
         const auto now = std::chrono::steady_clock::now();
         refresh(now);
-        send_round(now);
+        ++m_round;
+        send_round(now, m_round % other_region_rounds == 0);
         timer.expires_after(interval());
         co_await timer.async_wait(use_tuple);
     }
 }
 
-void peer_exchange::send_round(monotonic_time now)
+void peer_exchange::tell_all()
+{
+    send_round(std::chrono::steady_clock::now(), true);
+}
+
+void peer_exchange::send_round(monotonic_time now, bool is_for_all)
 {
     exchange::process_state own;
     own.process = m_settings.instance;
@@ -108,15 +119,14 @@
     own.domain = m_settings.domain;
     m_state.describe(own, now);
     const auto datagram = exchange::encode(own);
-    ++m_round;
     for (const auto& [id, entry] : m_peers) {
-        if (!entry.state || is_near(entry) || m_round % other_region_rounds == 0)
+        if (!entry.state || is_near(entry) || is_for_all)
             send(datagram, entry.address);
     }
     for (const auto& seed : m_seeds) {
         const bool is_known =
             std::ranges::any_of(m_peers, [&](const auto& item) { return item.second.address.ip == seed.ip; });
-        if (!is_known && seed.ip != m_settings.peers.ip && m_round % other_region_rounds == 0)
+        if (!is_known && seed.ip != m_settings.peers.ip && is_for_all)
             send(datagram, seed);
     }
 }
@@ -146,17 +156,63 @@
     m_update_timer.expires_at(m_updated + update_gap * near);
     m_update_timer.async_wait([this](const boost::system::error_code& error) {
         if (!error)
-            send_changed_loads();
+            send_update();
     });
 }
 
-void peer_exchange::send_changed_loads()
+void peer_exchange::set_reading(bool is_reading, monotonic_time answered)
+{
+    m_is_reading = is_reading;
+    m_store_answered = answered;
+}
+
+asio::awaitable<void> peer_exchange::tell_reading()
+{
+    asio::steady_timer timer(m_context);
+    while (true) {
+        timer.expires_after(reading_period);
+        co_await timer.async_wait(use_tuple);
+        if (m_is_reading && shares_store())
+            schedule_update();
+    }
+}
+
+bool peer_exchange::is_store_reader() const
+{
+    return dispatch::is_store_reader(m_settings.instance, reader_candidates());
+}
+
+bool peer_exchange::shares_store() const
+{
+    return reader_candidates().size() + 1 >= dispatch::smallest_shared_domain;
+}
+
+std::vector<dispatch::reader_candidate> peer_exchange::reader_candidates() const
+{
+    const auto now = std::chrono::steady_clock::now();
+    std::vector<dispatch::reader_candidate> others;
+    for (const auto& [id, entry] : m_peers) {
+        if (condition_of(entry, now) != peer_condition::heard || entry.state->domain != m_settings.domain ||
+            entry.state->is_leaving)
+            continue;
+        const auto age = std::chrono::duration_cast<milliseconds>(now - entry.store_answered);
+        others.push_back({id, entry.is_reading, age});
+    }
+    return others;
+}
+
+void peer_exchange::send_update()
 {
     m_is_update_due = false;
     m_updated = std::chrono::steady_clock::now();
-    const exchange::load_update update{m_settings.instance, m_start, m_state.board().take_changed_loads()};
-    if (update.loads.empty())
-        return;
+    exchange::near_update update;
+    update.process = m_settings.instance;
+    update.start = m_start;
+    update.loads = m_state.board().take_changed_loads();
+    update.configuration_version = m_state.configuration() ? m_state.configuration()->version() : 0;
+    update.list_version = m_list_version;
+    update.is_reading = m_is_reading;
+    update.store_answer_age = std::chrono::duration_cast<milliseconds>(m_updated - m_store_answered);
     const auto datagram = exchange::encode(update);
     for (const auto& [id, entry] : m_peers) {
         if (is_near(entry))
@@ -208,7 +264,7 @@
         if (auto* state = std::get_if<exchange::process_state>(&message))
             take(std::move(*state), ip);
         else
-            take(std::get<exchange::load_update>(message));
+            take(std::get<exchange::near_update>(message));
     } catch (const exchange::exchange_error& error) {
         log_event(event::peer_message_rejected, {{"address", ip}, {"reason", error.what()}});
     }
@@ -239,19 +295,30 @@
     entry.state = std::move(state);
 }
 
-void peer_exchange::take(const exchange::load_update& update)
+void peer_exchange::take(const exchange::near_update& update)
 {
     const auto found = m_peers.find(update.process);
     if (found == m_peers.end() || !found->second.state || found->second.state->start != update.start)
         return;
-    auto& known = found->second.state->loads;
+    auto& entry = found->second;
+    entry.is_reading = update.is_reading;
+    entry.store_answered = std::chrono::steady_clock::now() - update.store_answer_age;
+    auto& known = entry.state->loads;
     auto loads = known;
     for (const auto& load : update.loads) {
-        std::erase_if(loads, [&](const auto& entry) { return entry.endpoint == load.endpoint; });
+        std::erase_if(loads, [&](const auto& other) { return other.endpoint == load.endpoint; });
         loads.push_back(load);
     }
     m_state.board().change_peer_loads(known, loads);
     known = std::move(loads);
+    auto& configuration = entry.state->configuration_version;
+    auto& list = entry.state->list_version;
+    if (update.configuration_version <= configuration && update.list_version <= list)
+        return;
+    configuration = std::max(configuration, update.configuration_version);
+    list = std::max(list, update.list_version);
+    if (m_on_newer_versions)
+        m_on_newer_versions();
 }
 
 bool peer_exchange::hears_holder() const
@@ -305,11 +372,16 @@
     return result;
 }
 
-std::size_t peer_exchange::heard_peers() const
+monotonic_time peer_exchange::all_heard_until(monotonic_time now) const
 {
-    const auto now = std::chrono::steady_clock::now();
-    return static_cast<std::size_t>(std::ranges::count_if(
-        m_peers, [&](const auto& item) { return condition_of(item.second, now) == peer_condition::heard; }));
+    auto result = now;
+    for (const auto& [id, entry] : m_peers) {
+        const bool has_counts = entry.state && !entry.state->is_leaving;
+        if (has_counts && condition_of(entry, now) != peer_condition::gone)
+            result = std::min(result, entry.heard);
+    }
+    // A message may have been on its way.
+    return result - longest_delivery;
 }
 
 } // namespace siskinwharf::forwarding
--- /dev/null
+++ b/Libraries/forwarding/tests/known_entries_test.cpp
@@ -0,0 +1,69 @@
+#include <catch2/catch.hpp>
+
+#include "siskinwharf/forwarding/known_entries.h"
+
+namespace siskinwharf::forwarding {
+
+namespace {
+
+endpoint_changes read(std::uint64_t version, const std::vector<std::pair<std::string, std::string>>& entries)
+{
+    endpoint_changes result;
+    result.version = version;
+    for (const auto& [id, text] : entries)
+        result.endpoints.push_back({endpoint_id(id), text, std::nullopt, text.empty()});
+    return result;
+}
+
+/// The entries that a peer has after it took `changes`.
+void take_changes(std::map<endpoint_id, std::string>& peer, const known_entries::changes& changes)
+{
+    if (changes.is_whole_list)
+        peer.clear();
+    for (const auto& change : changes.entries) {
+        if (change.is_removed)
+            peer.erase(change.id);
+        else
+            peer[change.id] = change.text;
+    }
+}
+
+using entries = std::map<endpoint_id, std::string>;
+
+} // namespace
+
+TEST_CASE("a peer that takes what changed since its version has the same entries")
+{
+    known_entries known;
+    known.take(read(10, {{"a", "1"}, {"b", "1"}}), true);
+    entries peer;
+    take_changes(peer, known.since(0));
+    CHECK(peer == entries{{endpoint_id("a"), "1"}, {endpoint_id("b"), "1"}});
+    known.take(read(12, {{"b", ""}, {"c", "1"}}), false);
+    CHECK(known.since(12).entries.empty());
+    const auto changes = known.since(10);
+    CHECK_FALSE(changes.is_whole_list);
+    CHECK(changes.entries.size() == 2);
+    take_changes(peer, changes);
+    CHECK(peer == entries{{endpoint_id("a"), "1"}, {endpoint_id("c"), "1"}});
+    // A whole list after the store has dropped its history: what is missing there has been removed.
+    known.take(read(20, {{"c", "2"}}), true);
+    CHECK_FALSE(known.since(12).is_whole_list);
+    take_changes(peer, known.since(12));
+    CHECK(peer == entries{{endpoint_id("c"), "2"}});
+}
+
+TEST_CASE("a peer that is too far behind gets the whole list")
+{
+    // Guards against an endpoint that a peer keeps for ever because its removal is no longer remembered.
+    known_entries known;
+    known.take(read(10, {{"a", "1"}}), true);
+    CHECK(known.since(9).is_whole_list);
+    for (std::uint64_t version = 11; version < 1'200; ++version)
+        known.take(read(version, {{"removed-" + std::to_string(version), ""}}), false);
+    CHECK(known.since(11).is_whole_list);
+    CHECK(known.since(11).entries.size() == 1);
+    CHECK_FALSE(known.since(1'199).is_whole_list);
+}
+
+} // namespace siskinwharf::forwarding
--- a/Libraries/usage/include/siskinwharf/usage/report_plan.h
+++ b/Libraries/usage/include/siskinwharf/usage/report_plan.h
@@ -16,7 +16,7 @@
 struct report_times {
     milliseconds window{5'000};
     milliseconds due{10'000};   ///< From the end of a window.
-    milliseconds settle{2'000}; ///< From the end of a window until all processes' counts have arrived.
+    milliseconds settle{2'000}; ///< From the end of a window until it is reported, heard of all or not.
 };
 
 /// Store the counts of a window before they are sent. Pass the result to `stored`.
@@ -51,9 +51,10 @@
 public:
     explicit report_plan(report_times times) : m_times(times) {}
 
-    /// Nothing while there is nothing to do.
+    /// Nothing while there is nothing to do. All processes have told their counts until `heard_until`.
     [[nodiscard]] std::optional<report_action> next(wall_time now, const usage_ledger& ledger,
-                                                    const std::vector<account_id>& accounts);
+                                                    const std::vector<account_id>& accounts,
+                                                    wall_time heard_until = wall_time{});
     void stored(window_number window, const cloud::commit_result& result);
     void read(window_number window, const cloud::read_result& result);
     void sent(window_number window, bool is_accepted);
--- a/Libraries/usage/src/report_plan.cpp
+++ b/Libraries/usage/src/report_plan.cpp
@@ -1,5 +1,7 @@
 #include "siskinwharf/usage/report_plan.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 #include "siskinwharf/usage/usage_error.h"
@@ -19,11 +21,13 @@
 } // namespace
 
 std::optional<report_action> report_plan::next(wall_time now, const usage_ledger& ledger,
-                                               const std::vector<account_id>& accounts)
+                                               const std::vector<account_id>& accounts, wall_time heard_until)
 {
     const auto since_epoch = now.time_since_epoch();
-    // The newest window whose counts have arrived, and the oldest whose report is not overdue.
-    const window_number newest = (since_epoch - m_times.settle) / m_times.window - 1;
+    // The newest window whose counts have arrived or are waited for no longer, and the oldest whose report is
+    // not overdue.
+    const auto complete_until = std::max(since_epoch - m_times.settle, heard_until.time_since_epoch());
+    const window_number newest = complete_until / m_times.window - 1;
     const window_number oldest = (since_epoch - m_times.due) / m_times.window;
     std::erase_if(m_windows, [&](const auto& item) { return item.first < oldest - kept_reports; });
     for (auto window = oldest; window <= newest; ++window) {
--- a/Libraries/usage/tests/report_plan_test.cpp
+++ b/Libraries/usage/tests/report_plan_test.cpp
@@ -90,4 +90,32 @@
     CHECK_FALSE(plan.next(settled, ledger, accounts).has_value());
 }
 
+TEST_CASE(
+    "a window is reported when all processes were heard after its end, or when it is waited for no longer")
+{
+    // Guards against reports that lack what a frozen process, or one far away, had not told yet.
+    constexpr milliseconds window{5'000};
+    const usage_ledger ledger(instance_id("entry-1"), 1);
+    const std::vector<account_id> accounts{account_id("bakery")};
+    const wall_time end(window * 100);
+    const auto is_reported = [&](milliseconds after_end, milliseconds heard) {
+        report_plan plan(report_times{window, milliseconds(10'000), milliseconds(6'000)});
+        // The window before is overdue only 10 s after its end.
+        bool found = false;
+        while (const auto action = plan.next(end + after_end, ledger, accounts, end + heard)) {
+            const auto* store = std::get_if<store_report>(&*action);
+            found = found || (store != nullptr && store->window == 99);
+            if (store != nullptr)
+                plan.stored(store->window, cloud::table_committed{});
+            else if (const auto* send = std::get_if<send_report>(&*action))
+                plan.sent(send->window, true);
+        }
+        return found;
+    };
+    CHECK_FALSE(is_reported(milliseconds(900), milliseconds(-100)));
+    CHECK(is_reported(milliseconds(900), milliseconds(100)));
+    CHECK_FALSE(is_reported(milliseconds(5'900), milliseconds(-3'000)));
+    CHECK(is_reported(milliseconds(6'000), milliseconds(-3'000)));
+}
+
 } // namespace siskinwharf::usage
--- a/Services/siskinwharfd/src/forwarding_process.cpp
+++ b/Services/siskinwharfd/src/forwarding_process.cpp
@@ -1,5 +1,6 @@
 #include "forwarding_process.h"
 
+#include <charconv>
 #include <chrono>
 #include <csignal>
 #include <fstream>
@@ -62,6 +63,14 @@
     return {address.ip, address.port};
 }
 
+std::uint64_t version_parameter(const http::request& message, std::string_view name)
+{
+    const auto text = message.find_parameter(name).value_or("");
+    std::uint64_t version = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), version);
+    return error == std::errc() && end == text.data() + text.size() ? version : 0;
+}
+
 http::server_limits limits_of(const deployment::caller_limits& limits)
 {
     http::server_limits result;
@@ -186,6 +195,8 @@
             timer.expires_after(stop_poll);
             co_await timer.async_wait(use_tuple);
         }
+        // Counts of the last moments would be missing in the usage reports.
+        m_peers.tell_all();
         m_context.stop();
     }
 
@@ -204,9 +215,12 @@
         co_await writer.send(std::move(answer));
     }
 
-    asio::awaitable<void> answer_peer(http::request /*message*/, http::response_writer& writer)
+    asio::awaitable<void> answer_peer(http::request message, http::response_writer& writer)
     {
-        auto answer = http::json_response(200, m_watch.encode_state());
+        // A peer that names no version gets everything.
+        const auto configuration = version_parameter(message, "configuration");
+        const auto list = version_parameter(message, "list");
+        auto answer = http::json_response(200, m_watch.encode_state(configuration, list));
         co_await writer.send(std::move(answer));
     }
 
