Dispatch: Try one request at a time whatever the estimate says

Requests of peers at the same endpoint were enough to refuse. Ruled out: the endpoints, which answered other processes in 40 ms. Now an endpoint at which the process has no request of its own is always tried. The test refused all 200 requests before; after, none beyond the first 100.

--- a/Libraries/dispatch/src/endpoint_board.cpp
+++ b/Libraries/dispatch/src/endpoint_board.cpp
@@ -241,8 +241,9 @@
         std::max(lowest_budget_share, budget_share - budget_step * static_cast<double>(work.urgency));
     const auto limit = static_cast<double>(budget.count()) * share;
     const milliseconds expected(static_cast<std::int64_t>(best_expected));
-    const bool has_work = best->running + best->peers_running > 0;
-    if (budget.count() > 0 && has_work && best_expected > limit) {
+    // One request at a time is always tried, so that a wrong estimate is corrected by its time.
+    const bool has_own = best->running > 0;
+    if (budget.count() > 0 && has_own && best_expected > limit) {
         const milliseconds excess(static_cast<std::int64_t>(best_expected - limit));
         return placement_refusal{refusal_reason::overloaded,
                                  std::clamp(excess, shortest_retry, longest_retry), expected};
--- a/Libraries/dispatch/tests/endpoint_board_test.cpp
+++ b/Libraries/dispatch/tests/endpoint_board_test.cpp
@@ -88,6 +88,38 @@
     CHECK(second.find(chosen)->peers_running == 1);
 }
 
+TEST_CASE("a process that was paused does not refuse requests for ever by the times that it measured")
+{
+    // Guards against estimates that no new sample corrects, because each request is refused by them.
+    auto service = model_service();
+    service.engine.reset();
+    const workload read{0, 0, {}, 1};
+    auto board = make_board();
+    const monotonic_time now{};
+    std::vector<attempt_ticket> tickets;
+    for (int request = 0; request < 40; ++request)
+        tickets.push_back(board.start(service, endpoint_id("k1"), read, now));
+    for (auto& ticket : tickets)
+        board.finish(ticket, attempt_result::answered, now + seconds(8));
+    // Peers have requests at all endpoints all the time.
+    board.set_peer_loads({{endpoint_id("k1"), 3, 0}, {endpoint_id("k2"), 3, 0}, {endpoint_id("m1"), 3, 0}});
+    std::vector<attempt_ticket> running;
+    for (int request = 0; request < 200; ++request) {
+        const auto id = placed(board.place(service, read, {}, target, now + seconds(9)));
+        // A sample in ten of 40 ms each corrects an average of 8 s within less than 100 requests.
+        if (id.empty()) {
+            CHECK(request < 100);
+        } else {
+            running.push_back(board.start(service, id, read, now + seconds(9)));
+        }
+        if (running.size() == 4 || id.empty()) {
+            for (auto& ticket : running)
+                board.finish(ticket, attempt_result::answered, now + seconds(9) + milliseconds(40));
+            running.clear();
+        }
+    }
+}
+
 TEST_CASE("a hot subject spreads over engines and regions and is refused when all are full")
 {
     auto board = make_board();
