Exchange: Send a round of states in slices, and messages that fit into a packet

Cause: a process told its state to all peers at once. At 73 processes the burst of 72 datagrams was longer than the queue of a link of 10 Mbit/s, and what came last, the peers of other regions, was lost each time.

--- a/Libraries/exchange/exchange.thrift
+++ b/Libraries/exchange/exchange.thrift
@@ -43,6 +43,12 @@
   107: i64 store_answer_age_ms
 }
 
+struct usage_update {
+  201: string process
+  202: i64 start
+  203: list<window_usage> usage
+}
+
 struct process_state {
   1: string process
   2: i64 start
--- a/Libraries/exchange/include/siskinwharf/exchange/process_state.h
+++ b/Libraries/exchange/include/siskinwharf/exchange/process_state.h
@@ -48,7 +48,6 @@
     failure_domain_id domain;
     std::vector<dispatch::endpoint_load> loads;
     std::vector<account_use> accounts;
-    std::vector<usage::usage_entry> usage; ///< Process and start are those of the message.
     std::vector<service_demand> services;
     std::vector<admission::quarantine_record> crashes;
 
@@ -70,13 +69,37 @@
     bool operator==(const near_update&) const = default;
 };
 
-using message = std::variant<process_state, near_update>;
+/// Counts of usage, apart from the state, so that neither needs more than one packet.
+struct usage_update {
+    instance_id process;
+    std::uint64_t start = 0;
+    std::vector<usage::usage_entry> usage; ///< Process and start are those of the message.
+
+    bool operator==(const usage_update&) const = default;
+};
 
-/// Largest datagram in bytes: what fits into one UDP datagram of IPv4.
+using message = std::variant<process_state, near_update, usage_update>;
+
+/// Largest datagram in bytes that is read: what fits into one UDP datagram of IPv4.
 inline constexpr std::size_t largest_datagram = 60'000;
 
+/// Largest datagram in bytes that should be sent: a larger one is split into fragments, and is lost as a
+/// whole with any of them.
+inline constexpr std::size_t packet_size = 1'400;
+
+/// Endpoints of which one message tells the load, so that it fits into a packet.
+inline constexpr std::size_t most_told_loads = 36;
+
+/// The loads that matter most to others: long waits, then many requests. At most `most_told_loads`.
+[[nodiscard]] std::vector<dispatch::endpoint_load> told_loads(std::vector<dispatch::endpoint_load> loads);
+
+/// Counts in messages that each fit into a packet.
+[[nodiscard]] std::vector<usage_update> usage_updates(const instance_id& process, std::uint64_t start,
+                                                      const std::vector<usage::usage_entry>& entries);
+
 [[nodiscard]] std::string encode(const process_state& state);
 [[nodiscard]] std::string encode(const near_update& update);
+[[nodiscard]] std::string encode(const usage_update& update);
 /// Throws `exchange_error` for anything that `encode` does not produce.
 [[nodiscard]] message decode(std::string_view datagram);
 
--- a/Libraries/exchange/src/process_state.cpp
+++ b/Libraries/exchange/src/process_state.cpp
@@ -1,5 +1,7 @@
 #include "siskinwharf/exchange/process_state.h"
 
+#include <algorithm>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -83,12 +85,6 @@
         entry.in_window = to_signed(use.in_window);
         entry.per_second = to_signed(use.per_second);
     }
-    for (const auto& usage : value.usage) {
-        auto& entry = result.usage.emplace_back();
-        entry.window = usage.window;
-        for (const auto& [account, count] : usage.counts)
-            entry.counts[account.value()] = to_signed(count);
-    }
     for (const auto& service : value.services) {
         auto& entry = result.services.emplace_back();
         entry.name = service.service.value();
@@ -124,12 +120,6 @@
     for (const auto& use : value.accounts)
         result.accounts.push_back(
             {account_id(use.account), to_amount(use.in_window), to_amount(use.per_second)});
-    for (const auto& entry : value.usage) {
-        usage::usage_entry usage{result.process, result.start, entry.window, {}};
-        for (const auto& [account, count] : entry.counts)
-            usage.counts[account_id(account)] = to_amount(count);
-        result.usage.push_back(std::move(usage));
-    }
     for (const auto& service : value.services)
         result.services.push_back(
             {service_id(service.name), to_amount(service.tokens_per_second), to_count(service.running)});
@@ -143,6 +133,32 @@
     return result;
 }
 
+wire::usage_update to_wire(const usage_update& value)
+{
+    wire::usage_update result;
+    result.process = value.process.value();
+    result.start = to_signed(value.start);
+    for (const auto& usage : value.usage) {
+        auto& entry = result.usage.emplace_back();
+        entry.window = usage.window;
+        for (const auto& [account, count] : usage.counts)
+            entry.counts[account.value()] = to_signed(count);
+    }
+    return result;
+}
+
+usage_update from_wire(const wire::usage_update& value)
+{
+    usage_update result{instance_id(value.process), to_unsigned(value.start), {}};
+    for (const auto& entry : value.usage) {
+        usage::usage_entry usage{result.process, result.start, entry.window, {}};
+        for (const auto& [account, count] : entry.counts)
+            usage.counts[account_id(account)] = to_amount(count);
+        result.usage.push_back(std::move(usage));
+    }
+    return result;
+}
+
 near_update from_wire(const wire::near_update& value)
 {
     near_update result;
@@ -205,6 +221,44 @@
     return write(result);
 }
 
+std::string encode(const usage_update& update)
+{
+    return write(to_wire(update));
+}
+
+std::vector<dispatch::endpoint_load> told_loads(std::vector<dispatch::endpoint_load> loads)
+{
+    if (loads.size() <= most_told_loads)
+        return loads;
+    const auto weight = [](const dispatch::endpoint_load& load) {
+        return std::pair(load.waiting_tokens, load.running);
+    };
+    std::ranges::sort(loads, std::greater(), weight);
+    loads.resize(most_told_loads);
+    return loads;
+}
+
+std::vector<usage_update> usage_updates(const instance_id& process, std::uint64_t start,
+                                        const std::vector<usage::usage_entry>& entries)
+{
+    // A count, its account's length and the integers around it, at most.
+    constexpr std::size_t entry_overhead = 16;
+    std::vector<usage_update> result;
+    std::size_t left = 0;
+    for (const auto& entry : entries) {
+        std::size_t size = entry_overhead;
+        for (const auto& [account, count] : entry.counts)
+            size += account.value().size() + entry_overhead;
+        if (result.empty() || size > left) {
+            result.push_back({process, start, {}});
+            left = packet_size;
+        }
+        left -= std::min(left, size);
+        result.back().usage.push_back(entry);
+    }
+    return result;
+}
+
 message decode(std::string_view datagram)
 {
     if (datagram.empty())
@@ -213,6 +267,8 @@
         return from_wire(*state);
     if (const auto update = read<wire::near_update>(datagram))
         return from_wire(*update);
+    if (const auto update = read<wire::usage_update>(datagram))
+        return from_wire(*update);
     throw exchange_error("not a message of a forwarding process");
 }
 
--- a/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
@@ -13,6 +13,7 @@
 
 #include "siskinwharf/dispatch/store_readers.h"
 #include "siskinwharf/exchange/process_state.h"
+#include "siskinwharf/exchange/round_schedule.h"
 #include "siskinwharf/forwarding/deployment_store.h"
 #include "siskinwharf/forwarding/process_settings.h"
 #include "siskinwharf/forwarding/traffic_state.h"
@@ -81,10 +82,14 @@
     void receive(std::string_view datagram, const std::string& ip);
     void take(exchange::process_state state, const std::string& ip);
     void take(const exchange::near_update& update);
-    void send_round(monotonic_time now, bool is_for_all);
+    void take(const exchange::usage_update& update);
+    void send_slice(monotonic_time now);
+    /// The datagrams that tell this process's state.
+    [[nodiscard]] std::vector<std::string> encode_state(monotonic_time now);
     void schedule_update();
     void send_update();
     void send(const std::string& datagram, const settings::socket_address& address);
+    void send(const std::vector<std::string>& datagrams, const settings::socket_address& address);
     [[nodiscard]] bool is_near(const peer& entry) const;
     [[nodiscard]] std::vector<dispatch::reader_candidate> reader_candidates() const;
     void refresh(monotonic_time now);
@@ -102,7 +107,7 @@
     std::uint64_t m_lease_number = 0;
     std::uint64_t m_list_version = 0;
     bool m_is_leaving = false;
-    std::size_t m_round = 0;
+    exchange::round_schedule m_schedule;
     boost::asio::steady_timer m_update_timer; ///< Runs while an update waits to be sent.
     bool m_is_update_due = false;
     monotonic_time m_updated{};
--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -66,6 +66,8 @@
 
     /// The part of this process's message that depends on its traffic.
     void describe(exchange::process_state& state, monotonic_time now) const;
+    /// Own counts of usage that peers are to know.
+    [[nodiscard]] std::vector<usage::usage_entry> told_usage(monotonic_time now) const;
     [[nodiscard]] usage::window_number current_window(monotonic_time now) const;
     /// Work that callers ask of a service at this process.
     [[nodiscard]] exchange::service_demand demand_of(const service_id& service, monotonic_time now) const;
--- a/Libraries/forwarding/src/peer_exchange.cpp
+++ b/Libraries/forwarding/src/peer_exchange.cpp
@@ -22,8 +22,6 @@
 constexpr milliseconds shortest_interval{250};
 /// More peers get fewer messages each, so that the cost of a process stays the same.
 constexpr std::size_t peers_at_shortest_interval = 12;
-/// Peers of other regions get each third message: traffic between regions is billed.
-constexpr std::size_t other_region_rounds = 3;
 /// Of a message, between two regions.
 constexpr milliseconds longest_delivery{200};
 /// A peer that was not heard for this time may be dead or cut off.
@@ -93,20 +91,44 @@
     asio::steady_timer timer(m_context);
     while (true) {
         const auto now = std::chrono::steady_clock::now();
-        refresh(now);
-        ++m_round;
-        send_round(now, m_round % other_region_rounds == 0);
-        timer.expires_after(interval());
+        if (m_schedule.begins_round())
+            refresh(now);
+        send_slice(now);
+        const auto slices = exchange::round_schedule::slices(m_peers.size());
+        timer.expires_after(interval() / static_cast<std::int64_t>(slices));
+        m_schedule.advance(m_peers.size());
         co_await timer.async_wait(use_tuple);
     }
 }
 
+void peer_exchange::send_slice(monotonic_time now)
+{
+    const auto datagrams = encode_state(now);
+    std::size_t position = 0;
+    for (const auto& [id, entry] : m_peers) {
+        // A process that was not heard yet is to hear of this one soon.
+        const bool is_told_often = !entry.state || is_near(entry);
+        if (m_schedule.is_due(position++, is_told_often, m_peers.size()))
+            send(datagrams, entry.address);
+    }
+    if (!m_schedule.begins_round())
+        return;
+    for (const auto& seed : m_seeds) {
+        const bool is_known =
+            std::ranges::any_of(m_peers, [&](const auto& item) { return item.second.address.ip == seed.ip; });
+        if (!is_known && seed.ip != m_settings.peers.ip)
+            send(datagrams, seed);
+    }
+}
+
 void peer_exchange::tell_all()
 {
-    send_round(std::chrono::steady_clock::now(), true);
+    const auto datagrams = encode_state(std::chrono::steady_clock::now());
+    for (const auto& [id, entry] : m_peers)
+        send(datagrams, entry.address);
 }
 
-void peer_exchange::send_round(monotonic_time now, bool is_for_all)
+std::vector<std::string> peer_exchange::encode_state(monotonic_time now)
 {
     exchange::process_state own;
     own.process = m_settings.instance;
@@ -118,17 +140,17 @@
     own.list_version = m_list_version;
     own.domain = m_settings.domain;
     m_state.describe(own, now);
-    const auto datagram = exchange::encode(own);
-    for (const auto& [id, entry] : m_peers) {
-        if (!entry.state || is_near(entry) || is_for_all)
-            send(datagram, entry.address);
-    }
-    for (const auto& seed : m_seeds) {
-        const bool is_known =
-            std::ranges::any_of(m_peers, [&](const auto& item) { return item.second.address.ip == seed.ip; });
-        if (!is_known && seed.ip != m_settings.peers.ip && is_for_all)
-            send(datagram, seed);
-    }
+    std::vector<std::string> datagrams;
+    for (const auto& update : exchange::usage_updates(own.process, own.start, m_state.told_usage(now)))
+        datagrams.push_back(exchange::encode(update));
+    datagrams.push_back(exchange::encode(own));
+    return datagrams;
+}
+
+void peer_exchange::send(const std::vector<std::string>& datagrams, const settings::socket_address& address)
+{
+    for (const auto& datagram : datagrams)
+        send(datagram, address);
 }
 
 void peer_exchange::send(const std::string& datagram, const settings::socket_address& address)
@@ -208,7 +230,7 @@
     exchange::near_update update;
     update.process = m_settings.instance;
     update.start = m_start;
-    update.loads = m_state.board().take_changed_loads();
+    update.loads = exchange::told_loads(m_state.board().take_changed_loads());
     update.configuration_version = m_state.configuration() ? m_state.configuration()->version() : 0;
     update.list_version = m_list_version;
     update.is_reading = m_is_reading;
@@ -263,8 +285,10 @@
         auto message = exchange::decode(datagram);
         if (auto* state = std::get_if<exchange::process_state>(&message))
             take(std::move(*state), ip);
+        else if (const auto* update = std::get_if<exchange::near_update>(&message))
+            take(*update);
         else
-            take(std::get<exchange::near_update>(message));
+            take(std::get<exchange::usage_update>(message));
     } catch (const exchange::exchange_error& error) {
         log_event(event::peer_message_rejected, {{"address", ip}, {"reason", error.what()}});
     }
@@ -321,6 +345,14 @@
         m_on_newer_versions();
 }
 
+void peer_exchange::take(const exchange::usage_update& update)
+{
+    if (update.process == m_settings.instance)
+        return;
+    for (const auto& entry : update.usage)
+        m_state.ledger().merge(entry);
+}
+
 bool peer_exchange::hears_holder() const
 {
     constexpr milliseconds holder_silence{1'500};
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -71,8 +71,6 @@
 
 void traffic_state::merge_peer(const exchange::process_state& state, monotonic_time now)
 {
-    for (const auto& entry : state.usage)
-        m_ledger.merge(entry);
     m_clock.observe(state.process, state.wall, now);
     m_quarantine.merge(state.crashes, now);
 }
@@ -199,7 +197,7 @@
     state.uptime = std::chrono::duration_cast<milliseconds>(now - m_started);
     state.wall = m_clock.uncorrected(now);
     state.configuration_version = m_snapshot ? m_snapshot->version() : 0;
-    state.loads = m_board.own_loads();
+    state.loads = exchange::told_loads(m_board.own_loads());
     for (const auto& [account, quota] : m_quotas) {
         const auto use = quota.use(now);
         if (use.in_window > 0)
@@ -207,10 +205,14 @@
                 {account, static_cast<std::uint64_t>(std::llround(use.in_window)),
                  static_cast<std::uint64_t>(std::llround(std::max(use.per_second, 0.0)))});
     }
-    state.usage = m_ledger.own_entries(current_window(now) - repeated_windows);
     for (const auto& [service, traffic] : m_services)
         state.services.push_back(demand_of(service, now));
     state.crashes = m_quarantine.records(now, exchanged_crashes);
 }
 
+std::vector<usage::usage_entry> traffic_state::told_usage(monotonic_time now) const
+{
+    return m_ledger.own_entries(current_window(now) - repeated_windows);
+}
+
 } // namespace siskinwharf::forwarding
