Dispatch: Divide the placement, and count sums in one class

No behaviour changes, but a request of the http client that names a Host keeps it instead of carrying two.

--- a/Libraries/dispatch/include/siskinwharf/dispatch/account_quota.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/account_quota.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <vector>
 
 #include "siskinwharf/base/time.h"
+#include "siskinwharf/dispatch/sliding_sum.h"
 
 namespace siskinwharf::dispatch {
 
@@ -45,9 +45,12 @@
 /// its part no faster than it hears what the others spend.
 class account_quota {
 public:
-    account_quota(const quota_limit& limit, monotonic_time now) : m_limit(limit), m_refilled_at(now) {}
+    account_quota(const quota_limit& limit, monotonic_time now)
+        : m_limit(limit), m_refilled_at(now), m_admitted(limit.window)
+    {
+    }
 
-    void set_limit(const quota_limit& limit) { m_limit = limit; }
+    void set_limit(const quota_limit& limit);
     /// `processes` is the number of all processes, this one included. `coverage` is the part of a window, 0
     /// to 1, of which the processes know what they admitted: after a start of all, nobody knows what was used
     /// before.
@@ -59,17 +62,9 @@
     void give_back(double amount, monotonic_time now);
 
     [[nodiscard]] quota_use use(monotonic_time now) const;
-    /// Amount admitted in a second, on average over the last `span`, which is at most the window.
-    [[nodiscard]] double average(milliseconds span, monotonic_time now) const;
     [[nodiscard]] const quota_limit& limit() const { return m_limit; }
 
 private:
-    struct slice {
-        monotonic_time start;
-        double amount = 0;
-    };
-    slice& current(monotonic_time now);
-    [[nodiscard]] double admitted_since(monotonic_time first) const;
     [[nodiscard]] bool may_take(double amount, monotonic_time now);
     /// The limit in the known part of a window and the used part of the tolerance.
     [[nodiscard]] double allowed_in_window() const;
@@ -82,7 +77,7 @@
     double m_part = 0;  ///< This process's part of what is left of the limit.
     double m_level = 0; ///< Of that part, what may be taken now.
     monotonic_time m_refilled_at;
-    std::deque<slice> m_slices;
+    sliding_sum m_admitted;
 };
 
 } // namespace siskinwharf::dispatch
--- a/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_board.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_board.h
@@ -112,6 +112,17 @@
         double answer_ms = 40;                ///< From the request to the whole answer.
     };
 
+    /// Endpoints that may serve a request.
+    struct candidate_set {
+        std::vector<const endpoint_state*> endpoints;
+        double lowest_failure = 1;
+        const endpoint_state* preferred =
+            nullptr; ///< Of this failure domain, by the shared parts of the prompt.
+    };
+    /// Without those of `tried`. One that is avoided is taken if there is no other.
+    [[nodiscard]] candidate_set find_candidates(const service_id& service, const workload& work,
+                                                const std::vector<endpoint_id>& tried,
+                                                monotonic_time now) const;
     [[nodiscard]] double expected_ms(const endpoint_state& state, const deployment::service& wanted,
                                      const workload& work, std::uint64_t reading_tokens) const;
     [[nodiscard]] double preference_ms(const endpoint_state& state) const;
--- a/Libraries/dispatch/src/account_quota.cpp
+++ b/Libraries/dispatch/src/account_quota.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr milliseconds slice_length{250};
 constexpr milliseconds recent_time{1'000};
 /// In which all processes have heard what each has admitted, with the delay between regions.
 constexpr double exchange_time_s = 1;
@@ -91,39 +90,21 @@
     m_refilled_at = now;
 }
 
-account_quota::slice& account_quota::current(monotonic_time now)
+void account_quota::set_limit(const quota_limit& limit)
 {
-    while (!m_slices.empty() && m_slices.front().start + m_limit.window + slice_length < now)
-        m_slices.pop_front();
-    if (m_slices.empty() || m_slices.back().start + slice_length <= now)
-        m_slices.push_back({now, 0});
-    return m_slices.back();
-}
-
-double account_quota::admitted_since(monotonic_time first) const
-{
-    double sum = 0;
-    for (const auto& entry : m_slices) {
-        if (entry.start >= first)
-            sum += entry.amount;
-    }
-    return sum;
-}
-
-double account_quota::average(milliseconds span, monotonic_time now) const
-{
-    return admitted_since(now - span) / std::chrono::duration<double>(span).count();
+    m_limit = limit;
+    m_admitted.set_span(limit.window);
 }
 
 quota_use account_quota::use(monotonic_time now) const
 {
-    return {admitted_since(now - m_limit.window), average(recent_time, now)};
+    return {m_admitted.since(now - m_limit.window), m_admitted.per_second(recent_time, now)};
 }
 
 bool account_quota::may_take(double amount, monotonic_time now)
 {
     refill(now);
-    const auto known = admitted_since(now - m_limit.window) + m_others_in_window;
+    const auto known = m_admitted.since(now - m_limit.window) + m_others_in_window;
     return m_level > 0 || known + amount <= free_share * allowed_in_window();
 }
 
@@ -131,14 +112,14 @@
 {
     if (m_limit.per_second > 0 && !may_take(amount, now))
         return false;
-    current(now).amount += amount;
+    m_admitted.add(amount, now);
     m_level -= amount;
     return true;
 }
 
 void account_quota::give_back(double amount, monotonic_time now)
 {
-    current(now).amount -= amount;
+    m_admitted.add(-amount, now);
     m_level += amount;
 }
 
--- a/Libraries/dispatch/src/endpoint_board.cpp
+++ b/Libraries/dispatch/src/endpoint_board.cpp
@@ -182,18 +182,16 @@
     return 0;
 }
 
-placement_decision endpoint_board::place(const deployment::service& wanted, const workload& work,
-                                         const std::vector<endpoint_id>& tried, milliseconds budget,
-                                         monotonic_time now) const
+endpoint_board::candidate_set endpoint_board::find_candidates(const service_id& service, const workload& work,
+                                                              const std::vector<endpoint_id>& tried,
+                                                              monotonic_time now) const
 {
-    const auto listed = m_by_service.find(wanted.id);
+    candidate_set result;
+    const auto listed = m_by_service.find(service);
     if (listed == m_by_service.end())
-        return placement_refusal{refusal_reason::no_endpoint, retry_without_endpoint, milliseconds(0)};
-    std::vector<const endpoint_state*> candidates;
+        return result;
     const endpoint_state* avoided = nullptr;
-    double lowest_failure = 1;
     std::uint64_t best_preference = 0;
-    const endpoint_state* preferred = nullptr;
     const auto key = shared_part(work);
     for (const auto& id : listed->second) {
         const auto& state = m_endpoints.at(id);
@@ -204,29 +202,37 @@
                 avoided = &state;
             continue;
         }
-        candidates.push_back(&state);
-        lowest_failure = std::min(lowest_failure, state.failure_share);
+        result.endpoints.push_back(&state);
+        result.lowest_failure = std::min(result.lowest_failure, state.failure_share);
         if (key != 0 && state.record.domain == m_settings.domain && preference(key, id) >= best_preference) {
             best_preference = preference(key, id);
-            preferred = &state;
+            result.preferred = &state;
         }
     }
-    if (candidates.empty() && avoided != nullptr)
-        candidates.push_back(avoided);
-    if (candidates.empty())
+    if (result.endpoints.empty() && avoided != nullptr)
+        result.endpoints.push_back(avoided);
+    return result;
+}
+
+placement_decision endpoint_board::place(const deployment::service& wanted, const workload& work,
+                                         const std::vector<endpoint_id>& tried, milliseconds budget,
+                                         monotonic_time now) const
+{
+    const auto candidates = find_candidates(wanted.id, work, tried, now);
+    if (candidates.endpoints.empty())
         return placement_refusal{refusal_reason::no_endpoint, retry_without_endpoint, milliseconds(0)};
 
     const endpoint_state* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
     double best_expected = 0;
-    for (const auto* state : candidates) {
+    for (const auto* state : candidates.endpoints) {
         auto reading = reading_tokens(*state, work);
-        if (state == preferred && reading == work.prompt_tokens)
+        if (state == candidates.preferred && reading == work.prompt_tokens)
             reading -= std::min(reading, static_cast<std::uint64_t>(static_cast<double>(shared_tokens(work)) *
                                                                     preferred_cache_share));
         const auto expected = expected_ms(*state, wanted, work, reading);
-        const auto penalty =
-            (state->failure_share - lowest_failure) * static_cast<double>(m_settings.failure_penalty.count());
+        const auto penalty = (state->failure_share - candidates.lowest_failure) *
+                             static_cast<double>(m_settings.failure_penalty.count());
         // A fraction of a millisecond spreads requests over equal endpoints by their number of requests.
         const auto spread = static_cast<double>(state->running + state->peers_running) * 0.5;
         const auto reading_ms = static_cast<double>(reading) / times_of(wanted.id).tokens_per_ms;
@@ -248,7 +254,7 @@
         return placement_refusal{refusal_reason::overloaded,
                                  std::clamp(excess, shortest_retry, longest_retry), expected};
     }
-    return placement{best->record, expected, candidates.size()};
+    return placement{best->record, expected, candidates.endpoints.size()};
 }
 
 attempt_ticket endpoint_board::start(const deployment::service& wanted, const endpoint_id& endpoint,
--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -75,7 +75,7 @@
 private:
     struct service_traffic {
         dispatch::retry_allowance allowance;
-        dispatch::account_quota tokens; ///< Only for its moving average.
+        dispatch::sliding_sum tokens; ///< Of prompts that callers asked to read.
     };
     /// Part of a quota's window of which the processes that are heard know what they admitted.
     [[nodiscard]] double window_coverage(const std::vector<peer_view>& peers, monotonic_time now) const;
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -149,7 +149,7 @@
     const dispatch::retry_bound bound{bounds.retry_ratio, bounds.retry_window, bounds.retry_slack};
     return m_services
         .try_emplace(service,
-                     service_traffic{dispatch::retry_allowance(bound), dispatch::account_quota({}, now)})
+                     service_traffic{dispatch::retry_allowance(bound), dispatch::sliding_sum(demand_span)})
         .first->second;
 }
 
@@ -160,8 +160,7 @@
 
 void traffic_state::count_work(const service_id& service, std::uint64_t tokens, monotonic_time now)
 {
-    // Without a limit, so that it only counts.
-    static_cast<void>(traffic_of(service, now).tokens.try_take(static_cast<double>(tokens), now));
+    traffic_of(service, now).tokens.add(static_cast<double>(tokens), now);
 }
 
 bool traffic_state::try_repeat(const service_id& service, monotonic_time now)
@@ -184,7 +183,7 @@
     exchange::service_demand result{service, 0, 0};
     if (const auto found = m_services.find(service); found != m_services.end())
         result.tokens_per_second =
-            static_cast<std::uint64_t>(std::llround(found->second.tokens.average(demand_span, now)));
+            static_cast<std::uint64_t>(std::llround(found->second.tokens.per_second(demand_span, now)));
     for (const auto& [id, state] : m_board.endpoints()) {
         if (state.record.service == service)
             result.running += state.running;
--- a/Libraries/http/include/siskinwharf/http/message.h
+++ b/Libraries/http/include/siskinwharf/http/message.h
@@ -39,6 +39,9 @@
     [[nodiscard]] std::optional<std::string_view> find_header(std::string_view name) const;
 };
 
+/// Names of headers are compared without regard to case.
+[[nodiscard]] bool equal_ignoring_case(std::string_view left, std::string_view right);
+
 /// A JSON response with the content type set.
 [[nodiscard]] response json_response(int status, std::string body);
 
--- a/Libraries/http/src/client.cpp
+++ b/Libraries/http/src/client.cpp
@@ -4,6 +4,7 @@
 
 #include "connection.h"
 #include "connection_pool.h"
+#include "outgoing.h"
 
 namespace siskinwharf::http {
 
@@ -11,21 +12,6 @@
 
 constexpr std::size_t line_buffer_bytes = 64U << 10U;
 
-beast::http::request<beast::http::string_body> to_beast(const address& target, request&& message)
-{
-    beast::http::request<beast::http::string_body> result;
-    result.version(11);
-    result.method_string(message.method);
-    result.target(message.query.empty() ? message.path : message.path + "?" + message.query);
-    result.set(beast::http::field::host, target.ip + ":" + std::to_string(target.port));
-    for (const auto& [name, value] : message.headers)
-        result.insert(name, value);
-    result.body() = std::move(message.body);
-    result.prepare_payload();
-    result.keep_alive(true);
-    return result;
-}
-
 /// Writes the request and reads the response header. The stage of a thrown `call_error` says whether bytes
 /// were sent.
 template<typename Parser>
--- a/Libraries/http/src/message.cpp
+++ b/Libraries/http/src/message.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-bool equal_ignoring_case(std::string_view left, std::string_view right)
-{
-    return std::ranges::equal(
-        left, right, [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
-}
-
 std::optional<std::string_view> find(const std::vector<header_field>& headers, std::string_view name)
 {
     for (const auto& header : headers) {
@@ -53,6 +47,12 @@
 
 } // namespace
 
+bool equal_ignoring_case(std::string_view left, std::string_view right)
+{
+    return std::ranges::equal(
+        left, right, [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+}
+
 std::optional<std::string_view> request::find_header(std::string_view name) const
 {
     return find(headers, name);
--- a/Libraries/http/src/part_stream.cpp
+++ b/Libraries/http/src/part_stream.cpp
@@ -7,6 +7,7 @@
 
 #include "connection.h"
 #include "connection_pool.h"
+#include "outgoing.h"
 
 namespace siskinwharf::http {
 
@@ -18,21 +19,6 @@
 
 using string_request = beast::http::request<beast::http::string_body>;
 
-string_request to_beast(const address& target, request&& message)
-{
-    string_request result;
-    result.version(11);
-    result.method_string(message.method);
-    result.target(message.query.empty() ? message.path : message.path + "?" + message.query);
-    if (!message.find_header("Host"))
-        result.set(beast::http::field::host, target.ip + ":" + std::to_string(target.port));
-    for (const auto& [name, value] : message.headers)
-        result.insert(name, value);
-    result.body() = std::move(message.body);
-    result.prepare_payload();
-    return result;
-}
-
 /// Idle time that the server announces in `Keep-Alive: timeout=5`.
 std::optional<milliseconds> announced_lifetime(std::string_view value)
 {
