--- a/Libraries/dispatch/tests/endpoint_board_test.cpp
+++ b/Libraries/dispatch/tests/endpoint_board_test.cpp
@@ -96,8 +96,10 @@
     const workload read{0, 0, {}, 1};
     auto board = make_board();
     const monotonic_time now{};
+    constexpr int before_pause = 40;
     std::vector<attempt_ticket> tickets;
-    for (int request = 0; request < 40; ++request)
+    tickets.reserve(before_pause);
+    for (int request = 0; request < before_pause; ++request)
         tickets.push_back(board.start(service, endpoint_id("k1"), read, now));
     for (auto& ticket : tickets)
         board.finish(ticket, attempt_result::answered, now + seconds(8));
--- a/Libraries/exchange/tests/process_state_test.cpp
+++ b/Libraries/exchange/tests/process_state_test.cpp
@@ -66,8 +66,10 @@
 {
     // Guards against datagrams that are lost because they need fragments.
     auto state = make_state();
+    constexpr int endpoints = 90;
     std::vector<dispatch::endpoint_load> loads;
-    for (int endpoint = 0; endpoint < 90; ++endpoint)
+    loads.reserve(endpoints);
+    for (int endpoint = 0; endpoint < endpoints; ++endpoint)
         loads.push_back({endpoint_id("i-" + std::to_string(1'000'000'000 + endpoint)), 7,
                          static_cast<std::uint64_t>(endpoint) * 1'000});
     state.loads = told_loads(loads);
--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -79,7 +79,7 @@
     };
     /// Part of a quota's window of which the processes that are heard know what they admitted.
     [[nodiscard]] double window_coverage(const std::vector<peer_view>& peers, monotonic_time now) const;
-    service_traffic& traffic_of(const service_id& service, monotonic_time now);
+    service_traffic& traffic_of(const service_id& service);
 
     process_settings m_settings;
     monotonic_time m_started;
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -143,7 +143,7 @@
         found->second.give_back(amount, now);
 }
 
-traffic_state::service_traffic& traffic_state::traffic_of(const service_id& service, monotonic_time now)
+traffic_state::service_traffic& traffic_state::traffic_of(const service_id& service)
 {
     const auto& bounds = m_settings.bounds;
     const dispatch::retry_bound bound{bounds.retry_ratio, bounds.retry_window, bounds.retry_slack};
@@ -155,17 +155,17 @@
 
 void traffic_state::count_request(const service_id& service, monotonic_time now)
 {
-    traffic_of(service, now).allowance.on_first_request(now);
+    traffic_of(service).allowance.on_first_request(now);
 }
 
 void traffic_state::count_work(const service_id& service, std::uint64_t tokens, monotonic_time now)
 {
-    traffic_of(service, now).tokens.add(static_cast<double>(tokens), now);
+    traffic_of(service).tokens.add(static_cast<double>(tokens), now);
 }
 
 bool traffic_state::try_repeat(const service_id& service, monotonic_time now)
 {
-    return traffic_of(service, now).allowance.try_repeat(m_processes, now);
+    return traffic_of(service).allowance.try_repeat(m_processes, now);
 }
 
 void traffic_state::count_run(const account_id& account, monotonic_time now)
