Tests: Take ports outside the range of outgoing connections, and show why a process is not ready

Cause, suspected since test_cut_from_platform failed once beside load and again today (entry-ocho-1 not ready after 20 s): ports were taken from the range that the system hands to outgoing connections and let go before the process bound them. Not traced: the log of the process was gone. A process that ends, or is not ready in time, is now shown with its exit code and its last lines.

--- a/Tests/system/deployment.py
+++ b/Tests/system/deployment.py
@@ -20,16 +20,41 @@
     """A process did not come up or did not answer in time."""
 
 
+# Below the range from which the system takes the ports of outgoing connections (32768 to 60999 by default): one of
+# these could get a port between the choice here and the moment when the process binds it.
+FIRST_PORT = 10_000
+PORTS_OF_A_TEST = 200
+TESTS_AT_A_TIME = 100
+
+
+def ports_of_this_process():
+    """All ports that this test process may give out, each once. Tests that run side by side have other ones."""
+    first = FIRST_PORT + os.getpid() % TESTS_AT_A_TIME * PORTS_OF_A_TEST
+    while True:
+        yield from range(first, first + PORTS_OF_A_TEST)
+
+
+PORTS = ports_of_this_process()
+
+
+def is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
 def free_ports(count):
-    """Returns ports that are free now. They are held together, so that no two are equal."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    """Returns ports that are free now and that nobody else is likely to take."""
+    ports = []
+    for port in PORTS:
+        if is_free(port):
+            ports.append(port)
+        if len(ports) == count:
+            return ports
+    return ports
 
 
 def http(method, port, path, body=None, headers=None, timeout=10):
@@ -89,6 +114,12 @@
     def output(self):
         return self.log_path.read_text(errors="replace")
 
+    def last_words(self, lines=12):
+        """What tells why a process is not as expected: whether it has ended, how, and the end of its log."""
+        code = self.handle.poll()
+        state = "is running" if code is None else f"ended with code {code}"
+        return f"{self.name} {state}; its last lines:\n" + "\n".join(self.output().splitlines()[-lines:])
+
     def listening_port(self):
         """Port that a stand-in has printed."""
         wait_until(lambda: re.search(r"listening 127\.0\.0\.1:(\d+)", self.output()), 20, f"{self.name} listens")
@@ -201,7 +232,14 @@
 
     def wait_ready(self, seconds=20):
         for name in self.entries:
-            wait_until(lambda each=name: self.ready(each), seconds, f"{name} is ready")
+            process = self.processes[name]
+            try:
+                wait_until(lambda each=name: not self.processes[each].running() or self.ready(each), seconds,
+                           f"{name} is ready")
+            except DeploymentError as error:
+                raise DeploymentError(f"{error}\n{process.last_words()}") from error
+            if not process.running():
+                raise DeploymentError(f"{name} is not ready\n{process.last_words()}")
 
     def caller_targets(self, names=None):
         return ",".join(f"127.0.0.1:{self.entries[name]['ports'][0]}" for name in (names or self.entries))
