Peer: Keep a test's timer in the coroutine that waits for it

Cause: the threads of the fixture still run when the test's own variables are gone, and a request that arrived then waited for a timer on the test's stack. Ruled out: the transport, which destroys the coroutine with its context.

--- a/Libraries/peer/tests/peer_transport_test.cpp
+++ b/Libraries/peer/tests/peer_transport_test.cpp
@@ -157,8 +157,10 @@
 {
     fixture setup;
     const auto slow = std::make_shared<fake_handler>();
-    asio::steady_timer never(setup.context(), asio::steady_timer::time_point::max());
-    slow->on_request = [&never](const frame&) -> asio::awaitable<std::optional<message>> {
+    slow->on_request = [](const frame&) -> asio::awaitable<std::optional<message>> {
+        // In the coroutine: the threads of `setup` still run when the test's own variables are gone.
+        const auto executor = co_await asio::this_coro::executor;
+        asio::steady_timer never(executor, asio::steady_timer::time_point::max());
         co_await never.async_wait(asio::use_awaitable);
         co_return std::nullopt;
     };
