--- a/Libraries/base/include/siskinwharf/base/event.h
+++ b/Libraries/base/include/siskinwharf/base/event.h
@@ -57,6 +57,8 @@
 inline constexpr event_kind claim_committer_avoided{
     210, event_level::warning, "claim_committer_avoided",
     "The committer of the failure domain's claims failed; this process commits its own for a time."};
+inline constexpr event_kind quota_exceeded{211, event_level::info, "quota_exceeded",
+                                           "The quota of a client account had no room for a request."};
 inline constexpr event_kind request_placed{220, event_level::info, "request_placed",
                                            "An endpoint was chosen for an attempt of a forwarded request."};
 inline constexpr event_kind attempt_ended{221, event_level::info, "attempt_ended",
@@ -140,6 +142,7 @@
     claim_uncertain,
     quarantine_learned,
     claim_committer_avoided,
+    quota_exceeded,
     request_placed,
     attempt_ended,
     attempt_broken,
--- a/Libraries/base/include/siskinwharf/base/hash.h
+++ b/Libraries/base/include/siskinwharf/base/hash.h
@@ -28,4 +28,11 @@
     return mix64(left ^ mix64(right));
 }
 
+/// Maps a hash evenly to a number from 0 up to 1.
+[[nodiscard]] constexpr double unit_interval(std::uint64_t hash)
+{
+    constexpr auto mantissa_bits = 53U;
+    return static_cast<double>(hash >> (64U - mantissa_bits)) / static_cast<double>(1ULL << mantissa_bits);
+}
+
 } // namespace siskinwharf
--- a/Libraries/dispatch/include/siskinwharf/dispatch/account_quota.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/account_quota.h
@@ -20,19 +20,21 @@
     auto operator<=>(const quota_limit&) const = default;
 };
 
-/// Amounts that one process has admitted for an account.
+/// Use of a quota by one process or by several.
 struct quota_usage {
-    double in_window = 0;  ///< Amount in the last window.
-    double per_second = 0; ///< Average rate over the last second.
+    double in_window = 0;        ///< Amount admitted in the last window.
+    double per_second = 0;       ///< Average rate of admission over the last second.
+    double asked_per_second = 0; ///< Average rate over the last second, including what was refused.
 
     auto operator<=>(const quota_usage&) const = default;
 };
 
-/// Usage of a quota as last reported by a peer process.
+/// Usage of a quota as last reported by a peer process, or as the sum over several.
 struct peer_usage {
     quota_usage use;
-    milliseconds age{0};    ///< Time since the report.
-    bool has_ended = false; ///< The peer has restarted since. Its usage before the restart still counts.
+    milliseconds age{0};         ///< Time since the report.
+    bool has_ended = false;      ///< The peer has restarted since. Its usage before the restart still counts.
+    std::uint32_t processes = 1; ///< Number of processes that the report covers.
 };
 
 /// Estimates the current usage of a quota by all other processes. The last report of each peer is
@@ -42,48 +44,64 @@
 [[nodiscard]] quota_usage estimate_peer_usage(const quota_usage& own, const std::vector<peer_usage>& peers,
                                               const quota_limit& limit);
 
+/// What an admission is decided by.
+struct quota_balance {
+    double allowed = 0;   ///< Amount that all processes may admit in a window.
+    double remaining = 0; ///< What is left of it after the known use; negative if it is exceeded.
+    double expected = 0;  ///< Amount that all processes are asked for until their reports reach each other.
+    milliseconds age{0};  ///< Time since the use by other processes was last computed.
+
+    auto operator<=>(const quota_balance&) const = default;
+};
+
 /// Distributed rate limiter for one account. It admits requests so that all processes together stay within
-/// the limit. The remainder of the limit, after this process's own usage and the usage reported by its peers,
-/// is divided among the processes. Each process spends its share no faster than the usage reports of its
-/// peers arrive.
+/// the limit. What remains of the limit is not divided into shares: a share of one of several hundred
+/// processes is smaller than one request, and requests do not arrive in equal parts. Instead, each process
+/// admits the same fraction of what it is asked: the fraction at which all processes together spend the
+/// remainder no faster than reports of usage reach each other.
 class account_quota {
 public:
     account_quota(const quota_limit& limit, monotonic_time now)
-        : m_limit(limit), m_refilled_at(now), m_admitted(limit.window)
+        : m_limit(limit), m_peers_at(now), m_admitted(limit.window), m_asked(limit.window)
     {
     }
 
     void set_limit(const quota_limit& limit);
-    /// Updates the usage by peers and recomputes this process's share. `processes` is the number of all
-    /// processes, including this one. `coverage` is the fraction of a window, 0 to 1, for which the usage is
-    /// known: after all processes have restarted, the usage before the restart is unknown.
-    void set_peer_usage(const quota_usage& use, std::size_t processes, double coverage, monotonic_time now);
+    /// Updates the usage by all other processes. `coverage` is the fraction of a window, 0 to 1, for which
+    /// the usage is known: after all processes have restarted, the usage before the restart is unknown.
+    void set_peer_usage(const quota_usage& use, double coverage, monotonic_time now);
 
-    /// Counts `amount` and returns true, or returns false if the limit is reached.
-    [[nodiscard]] bool try_acquire(double amount, monotonic_time now);
+    /// Counts `amount` and returns true, or returns false if the request is refused. `draw` is a number from
+    /// 0 up to 1 that differs between requests, such as a hash of the request's id.
+    [[nodiscard]] bool try_acquire(double amount, double draw, monotonic_time now);
     /// Returns the amount that was taken for a request that did not run.
     void refund(double amount, monotonic_time now);
+    /// Time after which there is room for a refused request. `draw` spreads the callers that were refused
+    /// together.
+    [[nodiscard]] milliseconds retry_after(double amount, double draw, monotonic_time now) const;
 
     [[nodiscard]] quota_usage use(monotonic_time now) const;
+    [[nodiscard]] quota_balance balance(monotonic_time now) const;
     [[nodiscard]] const quota_limit& limit() const { return m_limit; }
 
 private:
-    /// Whether `amount` can be admitted now.
-    [[nodiscard]] bool has_capacity(double amount, monotonic_time now);
     /// Amount that all processes may admit in a window: the limit, reduced to the part of the window for
     /// which the usage is known, plus the part of the tolerance that is used.
     [[nodiscard]] double allowed_in_window() const;
-    /// Adds to the amount that may be admitted, in proportion to the time since the last refill.
-    void refill(monotonic_time now);
+    /// What remains of the limit after the known usage of all processes.
+    [[nodiscard]] double remaining(monotonic_time now) const;
+    /// Amount that all processes are asked for in the time in which reports of usage reach each other.
+    [[nodiscard]] double expected_demand(monotonic_time now) const;
+    /// Remainder from which on every request of this size is admitted. Below it, a part of them is.
+    [[nodiscard]] double needed_room(double amount, monotonic_time now) const;
 
     quota_limit m_limit;
-    std::size_t m_processes = 1;
-    double m_peers_in_window = 0;
+    quota_usage m_peers;
+    monotonic_time m_peers_at; ///< Time for which `m_peers` was estimated.
     double m_coverage = 0;
-    double m_own_share = 0; ///< This process's share of the remaining limit.
-    double m_available = 0; ///< Amount of the share that may be admitted now.
-    monotonic_time m_refilled_at;
     sliding_sum m_admitted;
+    sliding_sum m_asked;
+    double m_mean_amount = 0; ///< Moving average of the sizes of requests; 0 before the first one.
 };
 
 } // namespace siskinwharf::dispatch
--- a/Libraries/dispatch/src/account_quota.cpp
+++ b/Libraries/dispatch/src/account_quota.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Time over which the current rate is measured.
+/// Time over which the current rates are measured.
 constexpr milliseconds rate_measurement_time{1'000};
 /// Time in which the usage of each process reaches all others, including the delay between regions.
 constexpr double report_propagation_s = 1;
@@ -16,10 +16,13 @@
 /// Fraction of the tolerance that is used. The rest covers what processes admit before their usage reports
 /// reach each other.
 constexpr double used_tolerance_share = 0.3;
-/// While the account has used less than this fraction of the allowed amount, its requests are not limited by
-/// this process's share. Only a sudden rise to many times the limit could exceed it before the usage reports
-/// arrive.
-constexpr double unrestricted_share = 0.5;
+/// Weight of the newest request in the moving average of their sizes.
+constexpr double size_sample_weight = 0.1;
+/// Bounds of the retry delay of a refused request. A caller has left by the time that a longer delay is over.
+constexpr double minimum_retry_after_s = 0.25;
+constexpr double maximum_retry_after_s = 4;
+/// The retry delay is spread over this part of itself in both directions.
+constexpr double retry_spread = 0.25;
 
 double seconds_between(monotonic_time from, monotonic_time until)
 {
@@ -43,10 +46,13 @@
         const auto age_s = std::chrono::duration<double>(peer.age).count();
         reported.in_window += peer.use.in_window + peer.use.per_second * age_s;
         reported.per_second += peer.use.per_second;
-        processes += 1;
+        reported.asked_per_second += peer.use.asked_per_second;
+        processes += peer.processes;
     }
-    const quota_usage average{(reported.in_window + own.in_window) / (processes + 1),
-                              (reported.per_second + own.per_second) / (processes + 1)};
+    const auto all = processes + 1;
+    const quota_usage average{(reported.in_window + own.in_window) / all,
+                              (reported.per_second + own.per_second) / all,
+                              (reported.asked_per_second + own.asked_per_second) / all};
     auto result = reported;
     for (const auto& peer : peers) {
         if (is_current(peer))
@@ -58,28 +64,20 @@
         }
         const auto elapsed_s = std::min(std::chrono::duration<double>(peer.age).count(), window_s);
         const auto extrapolated = peer.use.in_window + peer.use.per_second * elapsed_s;
-        result.in_window +=
-            std::max(std::min(extrapolated, peer.use.per_second * window_s), average.in_window);
-        result.per_second += std::max(peer.use.per_second, average.per_second);
+        result.in_window += std::max(std::min(extrapolated, peer.use.per_second * window_s),
+                                     average.in_window * peer.processes);
+        result.per_second += std::max(peer.use.per_second, average.per_second * peer.processes);
+        result.asked_per_second +=
+            std::max(peer.use.asked_per_second, average.asked_per_second * peer.processes);
     }
     return result;
 }
 
-void account_quota::set_peer_usage(const quota_usage& use, std::size_t processes, double coverage,
-                                   monotonic_time now)
+void account_quota::set_peer_usage(const quota_usage& use, double coverage, monotonic_time now)
 {
-    refill(now);
+    m_peers = use;
+    m_peers_at = now;
     m_coverage = std::clamp(coverage, 0.0, 1.0);
-    m_processes = std::max<std::size_t>(processes, 1);
-    const auto own = this->use(now);
-    const auto remaining = allowed_in_window() - own.in_window - use.in_window;
-    m_peers_in_window = use.in_window;
-    // Half of the remainder is divided equally, so that a process without recent requests can admit some. The
-    // other half is divided in proportion to the current rates.
-    const auto equal_share = 1.0 / static_cast<double>(m_processes);
-    const auto total = own.per_second + use.per_second;
-    const auto rate_share = total > 0 ? std::max(own.per_second, 0.0) / total : equal_share;
-    m_own_share = std::max(0.0, remaining) * (equal_share + rate_share) / 2;
 }
 
 double account_quota::allowed_in_window() const
@@ -92,44 +90,67 @@
            used_tolerance_share * m_limit.tolerance_amount;
 }
 
-void account_quota::refill(monotonic_time now)
+double account_quota::remaining(monotonic_time now) const
 {
-    m_available = std::min(m_own_share, m_available + m_own_share * seconds_between(m_refilled_at, now) /
-                                                          report_propagation_s);
-    m_refilled_at = now;
+    const auto peers = m_peers.in_window + m_peers.per_second * seconds_between(m_peers_at, now);
+    return allowed_in_window() - m_admitted.since(now - m_limit.window) - peers;
+}
+
+double account_quota::expected_demand(monotonic_time now) const
+{
+    const auto own = std::max(0.0, m_asked.per_second(rate_measurement_time, now));
+    return (own + m_peers.asked_per_second) * report_propagation_s;
+}
+
+double account_quota::needed_room(double amount, monotonic_time now) const
+{
+    // To refuse a request that is small against the others would save little.
+    const auto relative_size = m_mean_amount > 0 ? std::min(1.0, amount / m_mean_amount) : 1.0;
+    // A single request may be larger than what all processes are asked for within the propagation time.
+    return std::max(amount, expected_demand(now) * relative_size);
 }
 
 void account_quota::set_limit(const quota_limit& limit)
 {
     m_limit = limit;
     m_admitted.set_span(limit.window);
+    m_asked.set_span(limit.window);
 }
 
 quota_usage account_quota::use(monotonic_time now) const
 {
-    return {m_admitted.since(now - m_limit.window), m_admitted.per_second(rate_measurement_time, now)};
+    return {m_admitted.since(now - m_limit.window), m_admitted.per_second(rate_measurement_time, now),
+            m_asked.per_second(rate_measurement_time, now)};
 }
 
-bool account_quota::has_capacity(double amount, monotonic_time now)
+quota_balance account_quota::balance(monotonic_time now) const
 {
-    refill(now);
-    const auto used = m_admitted.since(now - m_limit.window) + m_peers_in_window;
-    return m_available > 0 || used + amount <= unrestricted_share * allowed_in_window();
+    return {allowed_in_window(), remaining(now), expected_demand(now),
+            std::chrono::duration_cast<milliseconds>(now - m_peers_at)};
 }
 
-bool account_quota::try_acquire(double amount, monotonic_time now)
+bool account_quota::try_acquire(double amount, double draw, monotonic_time now)
 {
-    if (m_limit.per_second > 0 && !has_capacity(amount, now))
+    m_asked.add(amount, now);
+    m_mean_amount += (m_mean_amount == 0 ? 1 : size_sample_weight) * (amount - m_mean_amount);
+    if (m_limit.per_second > 0 && remaining(now) <= draw * needed_room(amount, now))
         return false;
     m_admitted.add(amount, now);
-    m_available -= amount;
     return true;
 }
 
 void account_quota::refund(double amount, monotonic_time now)
 {
     m_admitted.add(-amount, now);
-    m_available += amount;
+}
+
+milliseconds account_quota::retry_after(double amount, double draw, monotonic_time now) const
+{
+    const auto missing = needed_room(amount, now) - remaining(now);
+    const auto delay_s =
+        std::clamp(missing / std::max(m_limit.per_second, 1.0), minimum_retry_after_s, maximum_retry_after_s);
+    const auto spread_s = delay_s * (1 + retry_spread * (2 * draw - 1));
+    return std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(spread_s));
 }
 
 } // namespace siskinwharf::dispatch
--- a/Libraries/dispatch/tests/quota_test.cpp
+++ b/Libraries/dispatch/tests/quota_test.cpp
@@ -1,7 +1,9 @@
 #include <algorithm>
+#include <string>
 
 #include <catch2/catch.hpp>
 
+#include "siskinwharf/base/hash.h"
 #include "siskinwharf/dispatch/account_quota.h"
 #include "siskinwharf/dispatch/retry_limiter.h"
 
@@ -14,6 +16,12 @@
 /// Factor by which the operators' bound exceeds the limit.
 constexpr double tolerance = 1.1;
 
+/// A number from 0 up to 1 that differs between requests.
+double draw_of(std::uint64_t request)
+{
+    return unit_interval(hash64(std::to_string(request)));
+}
+
 /// Several processes that exchange their usage after a delay, each under a load of `offered` tokens per
 /// second.
 struct fleet {
@@ -31,7 +39,7 @@
         for (auto& quota : quotas) {
             constexpr double request = 10;
             for (double amount = 0; amount < offered * seconds_step; amount += request)
-                taken += quota.try_acquire(request, now) ? request : 0;
+                taken += quota.try_acquire(request, draw_of(++requests), now) ? request : 0;
         }
         if (exchanges)
             exchange(now);
@@ -56,11 +64,12 @@
             }
             const auto others = estimate_peer_usage(quotas[own].use(now), peers, limit);
             const auto coverage = std::chrono::duration<double>(now - started) / limit.window;
-            quotas[own].set_peer_usage(others, quotas.size(), coverage, now);
+            quotas[own].set_peer_usage(others, coverage, now);
         }
     }
 
     monotonic_time started;
+    std::uint64_t requests = 0;
     std::vector<account_quota> quotas;
     std::vector<std::vector<std::pair<quota_usage, monotonic_time>>> reports; ///< By receiver and sender.
 };
@@ -134,7 +143,7 @@
         constexpr double request = 25;
         for (int count = 0; count < 2; ++count) {
             asked += request;
-            taken += all.quotas.front().try_acquire(request, now) ? request : 0;
+            taken += all.quotas.front().try_acquire(request, draw_of(++all.requests), now) ? request : 0;
         }
         if (step % 3 == 0)
             all.exchange(now);
@@ -169,20 +178,18 @@
 TEST_CASE("an account without a quota is never refused")
 {
     account_quota quota(quota_limit{}, {});
-    CHECK(quota.try_acquire(1e9, {}));
+    CHECK(quota.try_acquire(1e9, 0.9, {}));
 }
 
 TEST_CASE("the amount of a request that did not run is returned")
 {
     const monotonic_time later = monotonic_time{} + seconds(20);
     account_quota quota(limit, {});
-    quota.set_peer_usage({}, 1, 1, {});
-    REQUIRE(quota.try_acquire(allowed, later));
-    quota.set_peer_usage({}, 1, 1, later);
-    CHECK_FALSE(quota.try_acquire(1'000, later));
+    quota.set_peer_usage({}, 1, {});
+    REQUIRE(quota.try_acquire(allowed, 0.9, later));
+    CHECK_FALSE(quota.try_acquire(1'000, 0.1, later));
     quota.refund(allowed, later);
-    quota.set_peer_usage({}, 1, 1, later);
-    CHECK(quota.try_acquire(1'000, later + seconds(1)));
+    CHECK(quota.try_acquire(1'000, 0.1, later + seconds(1)));
 }
 
 TEST_CASE("retries stay within the ratio and one process's share of the slack")
--- a/Libraries/exchange/exchange.thrift
+++ b/Libraries/exchange/exchange.thrift
@@ -12,6 +12,7 @@
   1: string account
   2: i64 in_window
   3: i64 per_second
+  4: i64 asked_per_second
 }
 
 struct window_usage {
@@ -47,6 +48,37 @@
   201: string process
   202: i64 start
   203: list<window_usage> usage
+  204: string failure_domain
+}
+
+// Sums over the processes of one failure domain, sent by its relays to those of other failure domains.
+struct domain_report {
+  301: string process
+  302: i64 start
+  303: i64 sequence
+  304: string failure_domain
+  305: i32 processes
+  306: i32 coverage_permille
+  307: list<account_use> accounts
+  308: list<service_demand> services
+  309: i64 counts_age_ms
+  310: i64 lease_number
+  311: i64 lease_age_ms
+  312: i64 configuration_version
+  313: i64 list_version
+  314: i32 port
+}
+
+// Sums over all processes except the receiver, sent by the relays of a failure domain to its processes.
+struct deployment_report {
+  401: string process
+  402: i64 start
+  403: i64 sequence
+  404: i32 processes
+  405: i32 coverage_permille
+  406: list<account_use> accounts
+  407: i64 lease_number
+  408: i64 lease_age_ms
 }
 
 struct process_state {
--- a/Libraries/exchange/src/process_state.cpp
+++ b/Libraries/exchange/src/process_state.cpp
@@ -1,6 +1,7 @@
 #include "siskinwharf/exchange/process_state.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -20,6 +21,7 @@
 
 /// Generated code allocates a list before it reads the elements, so that their number is bounded.
 constexpr std::int32_t container_limit = 16'384;
+constexpr double permille = 1'000;
 
 std::int64_t to_signed(std::uint64_t value)
 {
@@ -42,6 +44,13 @@
     return value < 0 ? 0 : static_cast<std::uint32_t>(value);
 }
 
+/// An age from a peer. Bounded, so that sums with it cannot overflow.
+milliseconds to_age(std::int64_t value)
+{
+    constexpr milliseconds maximum_age = std::chrono::hours(24);
+    return std::clamp(milliseconds(value), milliseconds(0), maximum_age);
+}
+
 std::vector<wire::endpoint_load> to_wire(const std::vector<dispatch::endpoint_load>& loads)
 {
     std::vector<wire::endpoint_load> result;
@@ -64,6 +73,53 @@
     return result;
 }
 
+std::vector<wire::account_use> to_wire(const std::vector<account_use>& accounts)
+{
+    std::vector<wire::account_use> result;
+    result.reserve(accounts.size());
+    for (const auto& use : accounts) {
+        auto& entry = result.emplace_back();
+        entry.account = use.account.value();
+        entry.in_window = to_signed(use.in_window);
+        entry.per_second = to_signed(use.per_second);
+        entry.asked_per_second = to_signed(use.asked_per_second);
+    }
+    return result;
+}
+
+std::vector<account_use> from_wire(const std::vector<wire::account_use>& accounts)
+{
+    std::vector<account_use> result;
+    result.reserve(accounts.size());
+    for (const auto& use : accounts)
+        result.push_back({account_id(use.account), to_amount(use.in_window), to_amount(use.per_second),
+                          to_amount(use.asked_per_second)});
+    return result;
+}
+
+std::vector<wire::service_demand> to_wire(const std::vector<service_demand>& services)
+{
+    std::vector<wire::service_demand> result;
+    result.reserve(services.size());
+    for (const auto& service : services) {
+        auto& entry = result.emplace_back();
+        entry.name = service.service.value();
+        entry.tokens_per_second = to_signed(service.tokens_per_second);
+        entry.running = static_cast<std::int32_t>(service.running);
+    }
+    return result;
+}
+
+std::vector<service_demand> from_wire(const std::vector<wire::service_demand>& services)
+{
+    std::vector<service_demand> result;
+    result.reserve(services.size());
+    for (const auto& service : services)
+        result.push_back(
+            {service_id(service.name), to_amount(service.tokens_per_second), to_count(service.running)});
+    return result;
+}
+
 wire::process_state to_wire(const process_state& value)
 {
     wire::process_state result;
@@ -79,18 +135,8 @@
     result.lease_number = to_signed(value.lease_number);
     result.failure_domain = value.domain.value();
     result.loads = to_wire(value.loads);
-    for (const auto& use : value.accounts) {
-        auto& entry = result.accounts.emplace_back();
-        entry.account = use.account.value();
-        entry.in_window = to_signed(use.in_window);
-        entry.per_second = to_signed(use.per_second);
-    }
-    for (const auto& service : value.services) {
-        auto& entry = result.services.emplace_back();
-        entry.name = service.service.value();
-        entry.tokens_per_second = to_signed(service.tokens_per_second);
-        entry.running = static_cast<std::int32_t>(service.running);
-    }
+    result.accounts = to_wire(value.accounts);
+    result.services = to_wire(value.services);
     for (const auto& record : value.crashes) {
         auto& entry = result.crashes.emplace_back();
         entry.account = record.key.account.value();
@@ -117,12 +163,8 @@
     result.lease_number = to_unsigned(value.lease_number);
     result.domain = failure_domain_id(value.failure_domain);
     result.loads = from_wire(value.loads);
-    for (const auto& use : value.accounts)
-        result.accounts.push_back(
-            {account_id(use.account), to_amount(use.in_window), to_amount(use.per_second)});
-    for (const auto& service : value.services)
-        result.services.push_back(
-            {service_id(service.name), to_amount(service.tokens_per_second), to_count(service.running)});
+    result.accounts = from_wire(value.accounts);
+    result.services = from_wire(value.services);
     for (const auto& record : value.crashes) {
         admission::quarantine_record entry{
             {account_id(record.account), record.digest}, {}, milliseconds(record.remaining_ms)};
@@ -138,6 +180,7 @@
     wire::usage_update result;
     result.process = value.process.value();
     result.start = to_signed(value.start);
+    result.failure_domain = value.domain.value();
     for (const auto& usage : value.usage) {
         auto& entry = result.usage.emplace_back();
         entry.window = usage.window;
@@ -149,7 +192,8 @@
 
 usage_update from_wire(const wire::usage_update& value)
 {
-    usage_update result{instance_id(value.process), to_unsigned(value.start), {}};
+    usage_update result{
+        instance_id(value.process), to_unsigned(value.start), {}, failure_domain_id(value.failure_domain)};
     for (const auto& entry : value.usage) {
         usage::usage_entry usage{result.process, result.start, entry.window, {}};
         for (const auto& [account, count] : entry.counts)
@@ -172,6 +216,62 @@
     return result;
 }
 
+std::int32_t to_permille(double share)
+{
+    return static_cast<std::int32_t>(std::lround(share * permille));
+}
+
+double from_permille(std::int32_t value)
+{
+    return std::clamp(static_cast<double>(value) / permille, 0.0, 1.0);
+}
+
+/// Sets the fields that both kinds of report have in common.
+template<typename Report, typename Wire>
+void convert_common(const Report& value, Wire& result)
+{
+    result.process = value.process.value();
+    result.start = to_signed(value.start);
+    result.sequence = to_signed(value.sequence);
+    result.processes = static_cast<std::int32_t>(value.processes);
+    result.coverage_permille = to_permille(value.coverage);
+    result.accounts = to_wire(value.accounts);
+    result.lease_number = to_signed(value.lease.number);
+    result.lease_age_ms = value.lease.age.count();
+}
+
+template<typename Wire, typename Report>
+void restore_common(const Wire& value, Report& result)
+{
+    result.process = instance_id(value.process);
+    result.start = to_unsigned(value.start);
+    result.sequence = to_unsigned(value.sequence);
+    result.processes = to_count(value.processes);
+    result.coverage = from_permille(value.coverage_permille);
+    result.accounts = from_wire(value.accounts);
+    result.lease = {to_unsigned(value.lease_number), to_age(value.lease_age_ms)};
+}
+
+domain_report from_wire(const wire::domain_report& value)
+{
+    domain_report result;
+    restore_common(value, result);
+    result.domain = failure_domain_id(value.failure_domain);
+    result.services = from_wire(value.services);
+    result.counts_age = to_age(value.counts_age_ms);
+    result.configuration_version = to_unsigned(value.configuration_version);
+    result.list_version = to_unsigned(value.list_version);
+    result.port = static_cast<std::uint16_t>(value.port);
+    return result;
+}
+
+deployment_report from_wire(const wire::deployment_report& value)
+{
+    deployment_report result;
+    restore_common(value, result);
+    return result;
+}
+
 template<typename Wire>
 std::string write(const Wire& value)
 {
@@ -226,6 +326,26 @@
     return write(to_wire(update));
 }
 
+std::string encode(const domain_report& report)
+{
+    wire::domain_report result;
+    convert_common(report, result);
+    result.failure_domain = report.domain.value();
+    result.services = to_wire(report.services);
+    result.counts_age_ms = report.counts_age.count();
+    result.configuration_version = to_signed(report.configuration_version);
+    result.list_version = to_signed(report.list_version);
+    result.port = report.port;
+    return write(result);
+}
+
+std::string encode(const deployment_report& report)
+{
+    wire::deployment_report result;
+    convert_common(report, result);
+    return write(result);
+}
+
 std::vector<dispatch::endpoint_load> told_loads(std::vector<dispatch::endpoint_load> loads)
 {
     if (loads.size() <= most_told_loads)
@@ -239,7 +359,8 @@
 }
 
 std::vector<usage_update> usage_updates(const instance_id& process, std::uint64_t start,
-                                        const std::vector<usage::usage_entry>& entries)
+                                        const std::vector<usage::usage_entry>& entries,
+                                        const failure_domain_id& domain)
 {
     // A count, its account's length and the integers around it, at most.
     constexpr std::size_t entry_overhead = 16;
@@ -250,7 +371,7 @@
         for (const auto& [account, count] : entry.counts)
             size += account.value().size() + entry_overhead;
         if (result.empty() || size > left) {
-            result.push_back({process, start, {}});
+            result.push_back({process, start, {}, domain});
             left = packet_size;
         }
         left -= std::min(left, size);
@@ -269,6 +390,10 @@
         return from_wire(*update);
     if (const auto update = read<wire::usage_update>(datagram))
         return from_wire(*update);
+    if (const auto report = read<wire::domain_report>(datagram))
+        return from_wire(*report);
+    if (const auto report = read<wire::deployment_report>(datagram))
+        return from_wire(*report);
     throw exchange_error("not a message of a forwarding process");
 }
 
--- a/Libraries/exchange/tests/process_state_test.cpp
+++ b/Libraries/exchange/tests/process_state_test.cpp
@@ -22,12 +22,38 @@
     state.lease_number = 3;
     state.domain = failure_domain_id("kingston-a");
     state.loads = {{endpoint_id("e-1"), 4, 12'000}};
-    state.accounts = {{account_id("bakery"), 2'000'000, 311'115}};
+    state.accounts = {{account_id("bakery"), 2'000'000, 311'115, 400'000}};
     state.services = {{service_id("plans"), 90'000, 17}};
     state.crashes = {{{account_id("bakery"), "00ff"}, {1, 0xFFFF'FFFF'FFFF'FFFEULL}, milliseconds(600'000)}};
     return state;
 }
 
+domain_report make_domain_report()
+{
+    domain_report report;
+    report.process = instance_id("entry-1");
+    report.start = 0xFFFF'FFFF'FFFF'FFFFULL;
+    report.sequence = 12;
+    report.domain = failure_domain_id("kingston-a");
+    report.processes = 33;
+    report.coverage = 0.5;
+    report.accounts = {{account_id("bakery"), 2'000'000, 311'115, 400'000}};
+    report.services = {{service_id("plans"), 90'000, 17}};
+    report.counts_age = milliseconds(640);
+    report.lease = {3, milliseconds(210)};
+    report.configuration_version = 9;
+    report.list_version = 412;
+    report.port = 7600;
+    return report;
+}
+
+deployment_report make_deployment_report()
+{
+    return {
+        instance_id("entry-1"), 7, 12, 194, 0.25, {{account_id("bakery"), 9'000'000, 1'311'115, 1'400'000}},
+        {3, milliseconds(210)}};
+}
+
 } // namespace
 
 TEST_CASE("a state message is read back as it was sent")
@@ -42,6 +68,34 @@
     CHECK(decode(encode(update)) == message(update));
 }
 
+TEST_CASE("reports of relays are read back as they were sent")
+{
+    CHECK(decode(encode(make_domain_report())) == message(make_domain_report()));
+    CHECK(decode(encode(make_deployment_report())) == message(make_deployment_report()));
+}
+
+TEST_CASE("reports of relays fit into a packet at the largest number of accounts expected")
+{
+    // Guards against datagrams that are lost because they need fragments.
+    auto domain = make_domain_report();
+    auto deployment = make_deployment_report();
+    for (int account = 0; account < 40; ++account)
+        domain.accounts.push_back(
+            {account_id("account" + std::to_string(account)), 90'000'000, 9'000'000, 9'000'000});
+    deployment.accounts = domain.accounts;
+    CHECK(encode(domain).size() <= packet_size);
+    CHECK(encode(deployment).size() <= packet_size);
+}
+
+TEST_CASE("the counts of a failure domain are told apart from those of a process")
+{
+    const usage_update sums{instance_id("entry-1"),
+                            7,
+                            {{instance_id("entry-1"), 7, 4, {{account_id("bakery"), 5}}}},
+                            failure_domain_id("kingston-a")};
+    CHECK(decode(encode(sums)) == message(sums));
+}
+
 TEST_CASE("usage is read back as it was sent, in as many messages as fit into packets")
 {
     const instance_id process("entry-1");
@@ -85,7 +139,8 @@
 {
     const near_update update{instance_id("entry-1"), 7, {{endpoint_id("e-1"), 4, 12'000}}, 9, 412, true,
                              milliseconds(250)};
-    const auto datagram = GENERATE_COPY(encode(make_state()), encode(update));
+    const auto datagram = GENERATE_COPY(encode(make_state()), encode(update), encode(make_domain_report()),
+                                        encode(make_deployment_report()));
     CHECK_THROWS_AS(decode(""), exchange_error);
     CHECK_THROWS_AS(decode("hello"), exchange_error);
     CHECK_THROWS_AS(decode(datagram + "x"), exchange_error);
--- a/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
@@ -15,18 +15,12 @@
 #include "siskinwharf/exchange/process_state.h"
 #include "siskinwharf/exchange/round_schedule.h"
 #include "siskinwharf/forwarding/deployment_store.h"
+#include "siskinwharf/forwarding/peer_table.h"
 #include "siskinwharf/forwarding/process_settings.h"
 #include "siskinwharf/forwarding/traffic_state.h"
 
 namespace siskinwharf::forwarding {
 
-/// A peer with a newer configuration or endpoint list than this process, and the address to fetch them from.
-struct newer_peer {
-    settings::socket_address address;
-    std::uint64_t configuration_version = 0;
-    std::uint64_t list_version = 0;
-};
-
 /// Sends the state of this process to all known peers periodically over UDP, and stores the state received
 /// from them. Peers are discovered through the store, the configured seeds and their own messages.
 class peer_exchange {
@@ -37,7 +31,7 @@
     void start();
     void add_peers(const std::vector<registered_process>& processes);
     /// Sets the fencing number that is sent to peers. 0 if this process does not hold the lease.
-    void set_lease_number(std::uint64_t fencing) { m_lease_number = fencing; }
+    void set_lease_number(std::uint64_t fencing);
     /// Sets the version of the endpoint list that is sent to peers.
     void set_list_version(std::uint64_t version) { m_list_version = version; }
     /// Sets whether this process reads the store, and the older of the times at which the
@@ -55,6 +49,9 @@
 
     /// Whether a peer that sent a message recently reports that it holds the lease.
     [[nodiscard]] bool has_live_lease_holder() const;
+    /// Whether the deployment has relays and this process is none. It learns from them what other failure
+    /// domains say, and leaves to them what needs only a few processes.
+    [[nodiscard]] bool relies_on_relays() const;
     /// Returns the peer with the newest configuration or endpoint list if it is newer than that of this
     /// process.
     [[nodiscard]] std::optional<newer_peer> find_newer_peer() const;
@@ -67,43 +64,45 @@
     void broadcast_state();
 
 private:
-    struct peer {
-        settings::socket_address address;
-        std::optional<exchange::process_state> state;
-        monotonic_time last_heard{};                     ///< When the newest message arrived.
-        monotonic_time listed{};                         ///< When the store first listed the peer.
-        std::optional<exchange::process_state> previous; ///< Last message before the peer restarted.
-        monotonic_time previous_heard{};
-        bool is_reading = false;
-        monotonic_time store_answered{}; ///< When the store last answered the peer. Valid if `is_reading`.
+    /// What a state message contains.
+    enum class detail {
+        presence, ///< Versions, clock and crash records.
+        state,    ///< Also the loads and the use of quotas.
+        state_and_usage,
     };
-    enum class peer_condition { alive, suspected, dead };
 
     boost::asio::awaitable<void> send_loop();
+    boost::asio::awaitable<void> relay_loop();
     boost::asio::awaitable<void> receive_loop();
     boost::asio::awaitable<void> announce_store_reading();
     void receive(std::string_view datagram, const std::string& ip);
     void take(exchange::process_state state, const std::string& ip);
-    void take(const exchange::near_update& update);
-    void take(const exchange::usage_update& update);
+    void take(const exchange::near_update& update, const std::string& ip);
+    void take(const exchange::usage_update& update, const std::string& ip);
+    void take(const exchange::domain_report& report, const std::string& ip);
+    void take(const exchange::deployment_report& report, const std::string& ip);
     void send_slice(monotonic_time now);
-    /// Encodes the state and the usage counts of this process into datagrams.
-    [[nodiscard]] std::vector<std::string> encode_state(monotonic_time now);
+    /// Tells the relays of this failure domain the state and, at a relay, sends the sums that are due.
+    void take_relay_turn(std::size_t turn, monotonic_time now);
+    void send_domain_reports(std::size_t turn, monotonic_time now);
+    /// Encodes this process's state and, if asked for, its usage counts into datagrams.
+    [[nodiscard]] std::vector<std::string> encode_state(monotonic_time now, detail part);
+    [[nodiscard]] std::vector<std::string> encode_domain_report(monotonic_time now);
+    [[nodiscard]] std::string encode_deployment_report(const peer_table::peer& receiver, monotonic_time now);
+    /// When a process, possibly this one, was last seen to hold the lease.
+    [[nodiscard]] exchange::lease_sighting lease_sighting(monotonic_time now) const;
+    [[nodiscard]] std::vector<exchange::service_demand> domain_demands() const;
     void schedule_update();
     void send_update();
     void send(const std::string& datagram, const settings::socket_address& address);
     void send(const std::vector<std::string>& datagrams, const settings::socket_address& address);
-    [[nodiscard]] bool is_near(const peer& entry) const;
-    [[nodiscard]] std::vector<dispatch::store_reader_candidate> reader_candidates() const;
     void refresh(monotonic_time now);
-    [[nodiscard]] peer_condition condition_of(const peer& entry, monotonic_time now) const;
-    [[nodiscard]] milliseconds interval() const;
 
     const process_settings m_settings;
     traffic_state& m_state;
     boost::asio::io_context& m_context;
     boost::asio::ip::udp::socket m_socket;
-    std::map<instance_id, peer> m_peers;
+    peer_table m_table;
     /// Seed addresses. Each is sent to until a peer with that address is known.
     std::vector<settings::socket_address> m_seeds;
     std::uint64_t m_start;
--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -5,25 +5,18 @@
 
 #include "siskinwharf/admission/quarantine.h"
 #include "siskinwharf/deployment/snapshot.h"
-#include "siskinwharf/dispatch/account_quota.h"
 #include "siskinwharf/dispatch/load_balancer.h"
 #include "siskinwharf/dispatch/retry_limiter.h"
 #include "siskinwharf/exchange/process_state.h"
 #include "siskinwharf/forwarding/call.h"
+#include "siskinwharf/forwarding/peer_view.h"
 #include "siskinwharf/forwarding/process_settings.h"
+#include "siskinwharf/forwarding/quota_table.h"
 #include "siskinwharf/usage/synchronized_clock.h"
 #include "siskinwharf/usage/usage_ledger.h"
 
 namespace siskinwharf::forwarding {
 
-/// The newest message of a peer and its age.
-struct peer_view {
-    const exchange::process_state* state = nullptr; ///< Null if no message was received from the peer.
-    milliseconds age{0};
-    bool is_alive = false;  ///< The message is recent enough to consider the peer alive.
-    bool has_ended = false; ///< The message was sent before the peer restarted.
-};
-
 /// State of a forwarding process: configuration, endpoints, quotas, retry budgets and usage counts. Performs
 /// no I/O. Not thread-safe; used from one thread.
 class traffic_state {
@@ -38,7 +31,7 @@
     void merge_peer_state(const exchange::process_state& state, monotonic_time now);
     /// Recomputes endpoint loads, quotas and the process count from the current peers, and expires old
     /// records.
-    void set_peers(const std::vector<peer_view>& peers, monotonic_time now);
+    void set_peers(const deployment_view& view, monotonic_time now);
 
     [[nodiscard]] const std::shared_ptr<const deployment::snapshot>& configuration() const
     {
@@ -49,12 +42,15 @@
     [[nodiscard]] const dispatch::load_balancer& balancer() const { return m_balancer; }
     [[nodiscard]] admission::quarantine& quarantine() { return m_quarantine; }
     [[nodiscard]] usage::usage_ledger& ledger() { return m_ledger; }
+    [[nodiscard]] const quota_table& quotas() const { return m_quotas; }
     [[nodiscard]] const usage::synchronized_clock& clock() const { return m_clock; }
     [[nodiscard]] std::size_t processes() const { return m_processes; }
 
     /// Returns the quota cost of a request: 1, or its tokens if the client account is limited by tokens.
     [[nodiscard]] static double quota_amount(const deployment::account& account, const call& request);
-    [[nodiscard]] bool take_quota(const deployment::account& account, double amount, monotonic_time now);
+    /// `draw` is a number from 0 up to 1 that differs between requests.
+    [[nodiscard]] bool take_quota(const deployment::account& account, double amount, double draw,
+                                  monotonic_time now);
     void refund_quota(const deployment::account& account, double amount, monotonic_time now);
 
     /// Counts a caller's request to a service towards its retry budget.
@@ -70,6 +66,10 @@
     void fill_message(exchange::process_state& state, monotonic_time now) const;
     /// Returns the usage counts of this process that are sent to peers.
     [[nodiscard]] std::vector<usage::usage_entry> usage_to_share(monotonic_time now) const;
+    /// Returns the sums of the usage counts of the processes of this failure domain, which a relay sends.
+    [[nodiscard]] std::vector<usage::usage_entry> domain_usage_to_share(monotonic_time now) const;
+    /// Returns the demand for all services at this process.
+    [[nodiscard]] std::vector<exchange::service_demand> demands(monotonic_time now) const;
     [[nodiscard]] usage::window_number current_window(monotonic_time now) const;
     /// Returns the demand for a service at this process: prompt tokens per second and running requests.
     [[nodiscard]] exchange::service_demand demand_of(const service_id& service, monotonic_time now) const;
@@ -79,9 +79,6 @@
         dispatch::retry_limiter allowance;
         dispatch::sliding_sum tokens; ///< Prompt tokens requested by callers.
     };
-    /// Returns the average fraction of the quota window that is covered by the uptime of the live processes.
-    /// What a process admitted before its start is unknown to it.
-    [[nodiscard]] double window_coverage(const std::vector<peer_view>& peers, monotonic_time now) const;
     service_traffic& traffic_of(const service_id& service);
 
     process_settings m_settings;
@@ -90,7 +87,7 @@
     dispatch::load_balancer m_balancer;
     bool m_has_endpoints = false;
     std::map<service_id, service_traffic> m_services;
-    std::map<account_id, dispatch::account_quota> m_quotas;
+    quota_table m_quotas;
     usage::usage_ledger m_ledger;
     usage::synchronized_clock m_clock;
     admission::quarantine m_quarantine{admission::quarantine_limits{}};
--- a/Libraries/forwarding/src/deployment_watch.cpp
+++ b/Libraries/forwarding/src/deployment_watch.cpp
@@ -26,6 +26,8 @@
 constexpr milliseconds peer_interval{250};
 /// Interval between reads of the registered processes.
 constexpr milliseconds registration_interval{20'000};
+/// As above, for a process that hears of others through relays.
+constexpr milliseconds relayed_registration_interval{120'000};
 constexpr milliseconds peer_timeout{1'000};
 constexpr milliseconds expiry_check_interval{250};
 /// Interval between checks whether this process must read the store itself.
@@ -33,7 +35,7 @@
 /// Maximum time of a long poll where peers follow this process; see `maximum_reader_staleness`.
 constexpr milliseconds shared_long_poll_time{1'000};
 /// Delay between polls of the endpoint list, so that changes in quick succession arrive in one response.
-constexpr milliseconds list_interval{100};
+constexpr milliseconds list_interval{400};
 
 } // namespace
 
@@ -85,7 +87,9 @@
             failed = true;
             log_event(event::platform_unavailable, {{"service", "registration"}, {"reason", error.what()}});
         }
-        co_await pause(failed ? retry_interval * 3 : registration_interval);
+        const auto interval =
+            m_peers.relies_on_relays() ? relayed_registration_interval : registration_interval;
+        co_await pause(failed ? retry_interval * 3 : interval);
     }
 }
 
--- a/Libraries/forwarding/src/duty_runner.cpp
+++ b/Libraries/forwarding/src/duty_runner.cpp
@@ -101,8 +101,9 @@
 
 asio::awaitable<void> duty_runner::run_lease()
 {
-    // While a live peer holds the lease, there is no need to poll the lease in the store.
-    if (!m_lease.fencing() && m_peers.has_live_lease_holder())
+    // While a live peer holds the lease, there is no need to poll the lease in the store. A process that is
+    // no relay does not receive what the duties need.
+    if (!m_lease.fencing() && (m_peers.has_live_lease_holder() || m_peers.relies_on_relays()))
         co_return;
     while (true) {
         auto action = m_lease.next(now());
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -37,7 +37,6 @@
 constexpr std::size_t maximum_response_size = 16U << 20U;
 constexpr milliseconds retry_after_not_run{150};
 constexpr milliseconds retry_after_not_ready{700};
-constexpr milliseconds retry_after_quota{500};
 constexpr int first_success = 200;
 constexpr int first_redirect = 300;
 constexpr int first_server_error = 500;
@@ -128,13 +127,28 @@
     if (m_account == nullptr)
         return std::nullopt;
     const auto amount = traffic_state::quota_amount(*m_account, m_call);
-    if (!m_state.take_quota(*m_account, amount, now))
+    const auto draw = unit_interval(mix64(choice));
+    if (!m_state.take_quota(*m_account, amount, draw, now)) {
+        log_quota_exceeded(amount, now);
         return http::refusal{refusal_type::overloaded, "the account's quota is used up", outcome::not_run,
-                             retry_after_quota};
+                             m_state.quotas().retry_after(m_account->id, amount, draw, now)};
+    }
     m_quota_taken = amount;
     return std::nullopt;
 }
 
+void forwarded_request::log_quota_exceeded(double amount, monotonic_time now) const
+{
+    const auto balance = m_state.quotas().balance(m_account->id, now);
+    log_event(event::quota_exceeded, {{"request", m_call.id.value()},
+                                      {"account", m_account->id.value()},
+                                      {"amount", fmt::format("{:.0f}", amount)},
+                                      {"allowed", fmt::format("{:.0f}", balance.allowed)},
+                                      {"remaining", fmt::format("{:.0f}", balance.remaining)},
+                                      {"asked_per_second", fmt::format("{:.0f}", balance.expected)},
+                                      {"age_ms", std::to_string(balance.age.count())}});
+}
+
 std::optional<http::refusal> forwarded_request::authorize()
 {
     if (m_route->is_public || m_snapshot->content().accounts.empty())
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -45,6 +45,7 @@
     /// refused.
     [[nodiscard]] std::optional<http::refusal> admit();
     [[nodiscard]] std::optional<http::refusal> authorize();
+    void log_quota_exceeded(double amount, monotonic_time now) const;
     boost::asio::awaitable<void> serve();
     /// Selects an endpoint and forwards the request once. Returns nothing if the caller has been answered
     /// because no endpoint could be selected.
--- a/Libraries/forwarding/src/peer_exchange.cpp
+++ b/Libraries/forwarding/src/peer_exchange.cpp
@@ -18,22 +18,25 @@
 
 namespace {
 
-/// Minimum interval between state messages to a peer of the same region.
-constexpr milliseconds minimum_interval{250};
-/// With more peers than this the interval grows in proportion, so that the message rate of a process stays
-/// constant.
-constexpr std::size_t peers_at_minimum_interval = 12;
-/// Maximum delivery time of a message between two regions.
-constexpr milliseconds maximum_delivery_time{200};
-/// A peer that has sent no message for this time may be dead or partitioned.
-constexpr milliseconds suspect_after{2'500};
-/// A peer that has sent no message for this time is considered dead.
-constexpr milliseconds dead_after{60'000};
 /// Minimum interval between two updates per receiving peer. Bounds the cost of updates in large failure
 /// domains.
 constexpr milliseconds update_interval_per_peer{2};
 /// Interval between updates of a process that reads the store for its peers.
 constexpr milliseconds reader_update_interval{250};
+/// Interval between the state messages of a process to the relays of its failure domain.
+constexpr milliseconds relay_interval{200};
+/// Intervals of messages through relays, in multiples of `relay_interval`. Two relays of each failure domain
+/// send in turn.
+constexpr std::size_t refresh_turns = 2;
+constexpr std::size_t deployment_report_turns = 4;
+constexpr std::size_t domain_report_turns = 3;
+constexpr std::size_t usage_turns = 5;
+/// With more relays than this in other failure domains, the interval between reports to them grows in
+/// proportion, so that the message rate of a relay stays constant.
+constexpr std::size_t relays_at_minimum_interval = 10;
+/// Time after which the usage counts of a process have been sent to a relay, or those of a failure domain to
+/// the other relays.
+constexpr milliseconds usage_delay = relay_interval * usage_turns;
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
 } // namespace
@@ -44,6 +47,7 @@
       m_state(state),
       m_context(context),
       m_socket(context, udp::endpoint(asio::ip::make_address(settings.peers.ip), settings.peers.port)),
+      m_table(settings),
       m_seeds(settings.seeds),
       m_start(start),
       m_update_timer(context)
@@ -54,6 +58,7 @@
 {
     asio::co_spawn(m_context, receive_loop(), asio::detached);
     asio::co_spawn(m_context, send_loop(), asio::detached);
+    asio::co_spawn(m_context, relay_loop(), asio::detached);
     asio::co_spawn(m_context, announce_store_reading(), asio::detached);
     m_state.balancer().on_changed_load([this] { schedule_update(); });
 }
@@ -61,30 +66,14 @@
 void peer_exchange::add_peers(const std::vector<registered_process>& processes)
 {
     const auto now = std::chrono::steady_clock::now();
-    for (const auto& process : processes) {
-        if (process.id == m_settings.instance)
-            continue;
-        auto& entry = m_peers[process.id];
-        if (entry.address.port == 0)
-            entry.listed = now;
-        entry.address = {process.ip, process.port};
-    }
+    for (const auto& process : processes)
+        m_table.add(process, now);
 }
 
-milliseconds peer_exchange::interval() const
+void peer_exchange::set_lease_number(std::uint64_t fencing)
 {
-    const auto count = std::max(m_peers.size(), peers_at_minimum_interval);
-    return minimum_interval * static_cast<std::int64_t>(count) /
-           static_cast<std::int64_t>(peers_at_minimum_interval);
-}
-
-peer_exchange::peer_condition peer_exchange::condition_of(const peer& entry, monotonic_time now) const
-{
-    const auto last = std::max(entry.last_heard, entry.listed);
-    if (now - last > dead_after || (entry.state && entry.state->is_leaving && now - last > suspect_after))
-        return peer_condition::dead;
-    const auto limit = std::max<nanoseconds>(suspect_after, interval() * 8);
-    return entry.state && now - entry.last_heard <= limit ? peer_condition::alive : peer_condition::suspected;
+    m_lease_number = fencing;
+    m_table.set_lease_number(fencing);
 }
 
 asio::awaitable<void> peer_exchange::send_loop()
@@ -95,41 +84,140 @@
         if (m_schedule.begins_round())
             refresh(now);
         send_slice(now);
-        const auto slices = exchange::round_schedule::slices(m_peers.size());
-        timer.expires_after(interval() / static_cast<std::int64_t>(slices));
-        m_schedule.advance(m_peers.size());
+        const auto slices = exchange::round_schedule::slices(m_table.peers().size());
+        timer.expires_after(m_table.interval() / static_cast<std::int64_t>(slices));
+        m_schedule.advance(m_table.peers().size());
         co_await timer.async_wait(use_tuple);
     }
 }
 
 void peer_exchange::send_slice(monotonic_time now)
 {
-    const auto datagrams = encode_state(now);
+    const auto& peers = m_table.peers();
+    const auto near = encode_state(now, m_table.uses_relays() ? detail::state : detail::state_and_usage);
+    const auto far = m_table.uses_relays() ? encode_state(now, detail::presence) : near;
     std::size_t position = 0;
-    for (const auto& [id, entry] : m_peers) {
+    for (const auto& [id, entry] : peers) {
         // A peer that has sent no message yet should learn of this process soon.
-        const bool is_frequent = !entry.state || is_near(entry);
-        if (m_schedule.is_due(position++, is_frequent, m_peers.size()))
-            send(datagrams, entry.address);
+        const bool is_frequent = !entry.state || m_table.is_near(entry);
+        if (m_schedule.is_due(position++, is_frequent, peers.size()))
+            send(m_table.is_near(entry) ? near : far, entry.address);
     }
     if (!m_schedule.begins_round())
         return;
     for (const auto& seed : m_seeds) {
         const bool is_known =
-            std::ranges::any_of(m_peers, [&](const auto& item) { return item.second.address.ip == seed.ip; });
+            std::ranges::any_of(peers, [&](const auto& item) { return item.second.address.ip == seed.ip; });
         if (!is_known && seed.ip != m_settings.peers.ip)
-            send(datagrams, seed);
+            send(far, seed);
+    }
+}
+
+asio::awaitable<void> peer_exchange::relay_loop()
+{
+    asio::steady_timer timer(m_context);
+    for (std::size_t turn = 0;; ++turn) {
+        timer.expires_after(relay_interval);
+        co_await timer.async_wait(use_tuple);
+        if (m_table.uses_relays())
+            take_relay_turn(turn, std::chrono::steady_clock::now());
+    }
+}
+
+void peer_exchange::take_relay_turn(std::size_t turn, monotonic_time now)
+{
+    if (turn % refresh_turns == 0)
+        refresh(now);
+    const auto state = encode_state(now, turn % usage_turns == 0 ? detail::state_and_usage : detail::state);
+    for (const auto& relay : m_table.relays(now))
+        send(state, relay);
+    if (!m_table.is_relay(now))
+        return;
+    const auto members = m_table.domain_peers();
+    for (std::size_t index = 0; index < members.size(); ++index) {
+        if ((turn + index) % deployment_report_turns == 0)
+            send(encode_deployment_report(*members[index], now), members[index]->address);
+    }
+    send_domain_reports(turn, now);
+}
+
+void peer_exchange::send_domain_reports(std::size_t turn, monotonic_time now)
+{
+    const auto relays = m_table.relays_of_other_domains(now);
+    const auto factor = (relays.size() + relays_at_minimum_interval - 1) / relays_at_minimum_interval;
+    const auto turns = domain_report_turns * std::max<std::size_t>(factor, 1);
+    const auto datagrams = encode_domain_report(now);
+    for (std::size_t index = 0; index < relays.size(); ++index) {
+        if ((turn + index) % turns == 0)
+            send(datagrams, relays[index]);
+    }
+}
+
+std::vector<std::string> peer_exchange::encode_domain_report(monotonic_time now)
+{
+    exchange::domain_report report;
+    report.process = m_settings.instance;
+    report.start = m_start;
+    report.sequence = ++m_sequence;
+    report.domain = m_settings.domain;
+    report.processes = static_cast<std::uint32_t>(m_table.domain_peers().size() + 1);
+    report.coverage = m_state.quotas().domain_coverage();
+    report.accounts = m_state.quotas().domain_use();
+    report.configuration_version = m_state.configuration() ? m_state.configuration()->version() : 0;
+    report.list_version = m_list_version;
+    report.port = m_settings.peers.port;
+    report.lease = lease_sighting(now);
+    const auto complete_until = m_table.domain_counts_complete_until(now) - usage_delay;
+    report.counts_age = std::chrono::duration_cast<milliseconds>(now - complete_until);
+    std::vector<std::string> datagrams;
+    for (const auto& update : exchange::usage_updates(m_settings.instance, m_start,
+                                                      m_state.domain_usage_to_share(now), m_settings.domain))
+        datagrams.push_back(exchange::encode(update));
+    report.services = domain_demands();
+    datagrams.push_back(exchange::encode(report));
+    return datagrams;
+}
+
+std::string peer_exchange::encode_deployment_report(const peer_table::peer& receiver, monotonic_time now)
+{
+    const auto age = std::chrono::duration_cast<milliseconds>(now - receiver.last_heard);
+    const peer_view view{&*receiver.state, age, true};
+    exchange::deployment_report report;
+    report.process = m_settings.instance;
+    report.start = m_start;
+    report.sequence = ++m_sequence;
+    report.processes = static_cast<std::uint32_t>(m_state.processes() - 1);
+    report.coverage = m_state.quotas().coverage();
+    report.accounts = m_state.quotas().use_without(view);
+    report.lease = lease_sighting(now);
+    return exchange::encode(report);
+}
+
+exchange::lease_sighting peer_exchange::lease_sighting(monotonic_time now) const
+{
+    if (m_lease_number != 0)
+        return {m_lease_number, milliseconds(0)};
+    return m_table.lease_sighting(now);
+}
+
+std::vector<exchange::service_demand> peer_exchange::domain_demands() const
+{
+    std::vector<exchange::service_demand> result;
+    if (const auto& snapshot = m_state.configuration()) {
+        for (const auto& service : snapshot->content().services)
+            result.push_back(demand_of(service.id)[m_settings.domain]);
     }
+    return result;
 }
 
 void peer_exchange::broadcast_state()
 {
-    const auto datagrams = encode_state(std::chrono::steady_clock::now());
-    for (const auto& [id, entry] : m_peers)
+    const auto datagrams = encode_state(std::chrono::steady_clock::now(), detail::state_and_usage);
+    for (const auto& [id, entry] : m_table.peers())
         send(datagrams, entry.address);
 }
 
-std::vector<std::string> peer_exchange::encode_state(monotonic_time now)
+std::vector<std::string> peer_exchange::encode_state(monotonic_time now, detail part)
 {
     exchange::process_state own;
     own.process = m_settings.instance;
@@ -142,8 +230,16 @@
     own.domain = m_settings.domain;
     m_state.fill_message(own, now);
     std::vector<std::string> datagrams;
-    for (const auto& update : exchange::usage_updates(own.process, own.start, m_state.usage_to_share(now)))
-        datagrams.push_back(exchange::encode(update));
+    if (part == detail::state_and_usage) {
+        for (const auto& update :
+             exchange::usage_updates(own.process, own.start, m_state.usage_to_share(now)))
+            datagrams.push_back(exchange::encode(update));
+    }
+    if (part == detail::presence) {
+        own.loads.clear();
+        own.accounts.clear();
+        own.services.clear();
+    }
     datagrams.push_back(exchange::encode(own));
     return datagrams;
 }
@@ -163,19 +259,12 @@
         m_socket.send_to(asio::buffer(datagram), target, 0, error);
 }
 
-bool peer_exchange::is_near(const peer& entry) const
-{
-    if (!entry.state)
-        return false;
-    const auto region = m_settings.regions.find(entry.state->domain);
-    return region == m_settings.regions.end() || region->second == m_settings.region;
-}
-
 void peer_exchange::schedule_update()
 {
     if (std::exchange(m_is_update_due, true))
         return;
-    const auto near = std::ranges::count_if(m_peers, [&](const auto& item) { return is_near(item.second); });
+    const auto near = std::ranges::count_if(m_table.peers(),
+                                            [&](const auto& item) { return m_table.is_near(item.second); });
     m_update_timer.expires_at(m_updated + update_interval_per_peer * near);
     m_update_timer.async_wait([this](const boost::system::error_code& error) {
         if (!error)
@@ -202,26 +291,14 @@
 
 bool peer_exchange::is_store_reader() const
 {
-    return dispatch::is_store_reader(m_settings.instance, reader_candidates());
+    return dispatch::is_store_reader(m_settings.instance,
+                                     m_table.reader_candidates(std::chrono::steady_clock::now()));
 }
 
 bool peer_exchange::shares_store() const
 {
-    return reader_candidates().size() + 1 >= dispatch::minimum_shared_domain_size;
-}
-
-std::vector<dispatch::store_reader_candidate> peer_exchange::reader_candidates() const
-{
-    const auto now = std::chrono::steady_clock::now();
-    std::vector<dispatch::store_reader_candidate> others;
-    for (const auto& [id, entry] : m_peers) {
-        if (condition_of(entry, now) != peer_condition::alive || entry.state->domain != m_settings.domain ||
-            entry.state->is_leaving)
-            continue;
-        const auto age = std::chrono::duration_cast<milliseconds>(now - entry.store_answered);
-        others.push_back({id, entry.is_reading, age});
-    }
-    return others;
+    const auto candidates = m_table.reader_candidates(std::chrono::steady_clock::now());
+    return candidates.size() + 1 >= dispatch::minimum_shared_domain_size;
 }
 
 void peer_exchange::send_update()
@@ -237,34 +314,17 @@
     update.is_reading = m_is_reading;
     update.store_answer_age = std::chrono::duration_cast<milliseconds>(m_updated - m_store_answered);
     const auto datagram = exchange::encode(update);
-    for (const auto& [id, entry] : m_peers) {
-        if (is_near(entry))
+    for (const auto& [id, entry] : m_table.peers()) {
+        if (m_table.is_near(entry))
             send(datagram, entry.address);
     }
 }
 
 void peer_exchange::refresh(monotonic_time now)
 {
-    std::vector<peer_view> views;
-    for (const auto& [id, entry] : m_peers) {
-        const auto condition = condition_of(entry, now);
-        if (condition == peer_condition::dead)
-            continue;
-        const auto age =
-            std::chrono::duration_cast<milliseconds>(now - std::max(entry.last_heard, entry.listed));
-        views.push_back({entry.state ? &*entry.state : nullptr, age, condition == peer_condition::alive});
-        if (entry.previous) {
-            const auto previous_age = std::chrono::duration_cast<milliseconds>(now - entry.previous_heard);
-            views.push_back({&*entry.previous, previous_age, false, true});
-        }
-    }
-    m_state.set_peers(views, now);
-    std::erase_if(m_peers, [&](const auto& item) {
-        if (condition_of(item.second, now) != peer_condition::dead)
-            return false;
-        log_event(event::peer_dead, {{"peer", item.first.value()}});
-        return true;
-    });
+    m_state.set_peers(m_table.view(now), now);
+    for (const auto& id : m_table.remove_dead(now))
+        log_event(event::peer_dead, {{"peer", id.value()}});
 }
 
 asio::awaitable<void> peer_exchange::receive_loop()
@@ -284,13 +344,10 @@
 void peer_exchange::receive(std::string_view datagram, const std::string& ip)
 {
     try {
-        auto message = exchange::decode(datagram);
-        if (auto* state = std::get_if<exchange::process_state>(&message))
-            take(std::move(*state), ip);
-        else if (const auto* update = std::get_if<exchange::near_update>(&message))
-            take(*update);
-        else
-            take(std::get<exchange::usage_update>(message));
+        const auto visitor = [&](auto message) {
+            take(std::move(message), ip);
+        };
+        std::visit(visitor, exchange::decode(datagram));
     } catch (const exchange::exchange_error& error) {
         log_event(event::peer_message_rejected, {{"address", ip}, {"reason", error.what()}});
     }
@@ -298,38 +355,28 @@
 
 void peer_exchange::take(exchange::process_state state, const std::string& ip)
 {
-    if (state.process == m_settings.instance)
-        return;
     const auto now = std::chrono::steady_clock::now();
-    auto& entry = m_peers[state.process];
-    const bool is_older =
-        entry.state && entry.state->start == state.start && entry.state->sequence >= state.sequence;
-    if (is_older)
+    const auto known = m_table.peers().find(state.process);
+    const bool is_new =
+        known == m_table.peers().end() || !known->second.state || known->second.state->start != state.start;
+    const auto copy = state;
+    const auto loads_before = m_table.take(std::move(state), ip, now);
+    if (!loads_before)
         return;
-    if (entry.state && entry.state->start != state.start) {
-        entry.previous = std::move(entry.state);
-        entry.previous_heard = entry.last_heard;
-        entry.state.reset();
-    }
-    if (!entry.state)
-        log_event(event::peer_alive, {{"peer", state.process.value()}, {"address", ip}});
-    entry.address = {ip, state.port};
-    entry.last_heard = now;
-    m_state.merge_peer_state(state, now);
-    if (entry.state)
-        m_state.balancer().change_peer_loads(entry.state->loads, state.loads);
-    entry.state = std::move(state);
+    if (is_new)
+        log_event(event::peer_alive, {{"peer", copy.process.value()}, {"address", ip}});
+    m_state.merge_peer_state(copy, now);
+    // The loads of a peer that has just been found count from the next refresh on.
+    if (!is_new)
+        m_state.balancer().change_peer_loads(*loads_before, copy.loads);
 }
 
-void peer_exchange::take(const exchange::near_update& update)
+void peer_exchange::take(const exchange::near_update& update, const std::string&)
 {
-    const auto found = m_peers.find(update.process);
-    if (found == m_peers.end() || !found->second.state || found->second.state->start != update.start)
+    auto* entry = m_table.take(update, std::chrono::steady_clock::now());
+    if (entry == nullptr)
         return;
-    auto& entry = found->second;
-    entry.is_reading = update.is_reading;
-    entry.store_answered = std::chrono::steady_clock::now() - update.store_answer_age;
-    auto& known = entry.state->loads;
+    auto& known = entry->state->loads;
     auto loads = known;
     for (const auto& load : update.loads) {
         std::erase_if(loads, [&](const auto& other) { return other.endpoint == load.endpoint; });
@@ -337,8 +384,8 @@
     }
     m_state.balancer().change_peer_loads(known, loads);
     known = std::move(loads);
-    auto& configuration = entry.state->configuration_version;
-    auto& list = entry.state->list_version;
+    auto& configuration = entry->state->configuration_version;
+    auto& list = entry->state->list_version;
     if (update.configuration_version <= configuration && update.list_version <= list)
         return;
     configuration = std::max(configuration, update.configuration_version);
@@ -347,75 +394,64 @@
         m_on_newer_versions();
 }
 
-void peer_exchange::take(const exchange::usage_update& update)
+void peer_exchange::take(const exchange::usage_update& update, const std::string&)
 {
-    if (update.process == m_settings.instance)
+    if (!m_table.accepts(update))
         return;
-    for (const auto& entry : update.usage)
-        m_state.ledger().merge(entry);
+    for (const auto& entry : update.usage) {
+        if (update.domain.empty())
+            m_state.ledger().merge(entry);
+        else
+            m_state.ledger().merge_domain(update.domain, entry);
+    }
 }
 
-bool peer_exchange::has_live_lease_holder() const
+void peer_exchange::take(const exchange::domain_report& report, const std::string& ip)
+{
+    m_table.take(report, ip, std::chrono::steady_clock::now());
+}
+
+void peer_exchange::take(const exchange::deployment_report& report, const std::string&)
 {
-    constexpr milliseconds lease_holder_timeout{1'500};
     const auto now = std::chrono::steady_clock::now();
-    return std::ranges::any_of(m_peers, [&](const auto& item) {
-        const auto& entry = item.second;
-        const auto limit = std::max<nanoseconds>(lease_holder_timeout, interval() * 4);
-        return entry.state && entry.state->lease_number != 0 && now - entry.last_heard <= limit;
-    });
+    m_table.take(report, now);
+    if (!m_table.is_relay(now))
+        refresh(now);
+}
+
+bool peer_exchange::has_live_lease_holder() const
+{
+    return m_table.has_live_lease_holder(std::chrono::steady_clock::now());
+}
+
+bool peer_exchange::relies_on_relays() const
+{
+    return m_table.uses_relays() && !m_table.is_relay(std::chrono::steady_clock::now());
 }
 
 std::optional<newer_peer> peer_exchange::find_newer_peer() const
 {
-    const auto own = m_state.configuration() ? m_state.configuration()->version() : 0;
-    std::optional<newer_peer> best;
-    const auto now = std::chrono::steady_clock::now();
-    for (const auto& [id, entry] : m_peers) {
-        if (condition_of(entry, now) != peer_condition::alive)
-            continue;
-        const bool is_newer =
-            entry.state->configuration_version > own || entry.state->list_version > m_list_version;
-        const std::pair versions(entry.state->configuration_version, entry.state->list_version);
-        if (is_newer && (!best || versions > std::pair(best->configuration_version, best->list_version)))
-            best = newer_peer{entry.address, versions.first, versions.second};
-    }
-    return best;
+    const auto version = m_state.configuration() ? m_state.configuration()->version() : 0;
+    return m_table.find_newer_peer({version, m_list_version}, std::chrono::steady_clock::now());
 }
 
 std::map<failure_domain_id, exchange::service_demand>
 peer_exchange::demand_of(const service_id& service) const
 {
-    std::map<failure_domain_id, exchange::service_demand> result;
     const auto now = std::chrono::steady_clock::now();
-    const auto add = [&](const failure_domain_id& domain, const exchange::service_demand& demand) {
-        auto& sum = result[domain];
-        sum.service = service;
-        sum.tokens_per_second += demand.tokens_per_second;
-        sum.running += demand.running;
-    };
-    add(m_settings.domain, m_state.demand_of(service, now));
-    for (const auto& [id, entry] : m_peers) {
-        if (condition_of(entry, now) != peer_condition::alive)
-            continue;
-        for (const auto& demand : entry.state->services) {
-            if (demand.service == service)
-                add(entry.state->domain, demand);
-        }
-    }
+    auto result = m_table.demand_of(service, now);
+    const auto own = m_state.demand_of(service, now);
+    auto& sum = result[m_settings.domain];
+    sum.service = service;
+    sum.tokens_per_second += own.tokens_per_second;
+    sum.running += own.running;
     return result;
 }
 
 monotonic_time peer_exchange::counts_complete_until(monotonic_time now) const
 {
-    auto result = now;
-    for (const auto& [id, entry] : m_peers) {
-        const bool has_counts = entry.state && !entry.state->is_leaving;
-        if (has_counts && condition_of(entry, now) != peer_condition::dead)
-            result = std::min(result, entry.last_heard);
-    }
-    // Counts made shortly before may still be in transit.
-    return result - maximum_delivery_time;
+    const auto complete = m_table.counts_complete_until(now);
+    return m_table.uses_relays() ? complete - usage_delay : complete;
 }
 
 } // namespace siskinwharf::forwarding
--- /dev/null
+++ b/Libraries/forwarding/src/peer_table.cpp
@@ -0,0 +1,408 @@
+#include "siskinwharf/forwarding/peer_table.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "siskinwharf/base/hash.h"
+
+namespace siskinwharf::forwarding {
+
+namespace {
+
+/// Minimum interval between state messages to a peer of the same region.
+constexpr milliseconds minimum_interval{250};
+/// With more peers than this the interval grows in proportion, so that the message rate of a process stays
+/// constant.
+constexpr std::size_t peers_at_minimum_interval = 12;
+/// Maximum delivery time of a message between two regions.
+constexpr milliseconds maximum_delivery_time{200};
+/// A peer that has sent no message for this time may be dead or partitioned.
+constexpr milliseconds suspect_after{2'500};
+/// A peer that has sent no message for this time is considered dead.
+constexpr milliseconds dead_after{60'000};
+/// With more peers than this the failure domains have relays.
+constexpr std::size_t maximum_peers_without_relays = 24;
+/// Relays of a failure domain. With two, a failure of one that is not detected at once causes no gap.
+constexpr std::size_t relays_per_domain = 2;
+/// A relay that has sent nothing for this time is replaced.
+constexpr milliseconds relay_timeout{2'500};
+/// A lease holder that was not seen for this time may be dead.
+constexpr milliseconds lease_holder_timeout{1'500};
+/// As above, where the sighting arrives through relays.
+constexpr milliseconds relayed_lease_holder_timeout{2'500};
+
+milliseconds elapsed(monotonic_time from, monotonic_time until)
+{
+    return std::chrono::duration_cast<milliseconds>(until - from);
+}
+
+/// Whether a message is a repetition of the stored one, or older.
+template<typename Message>
+bool is_older(const Message& message, const Message& stored)
+{
+    return stored.start == message.start && stored.sequence >= message.sequence;
+}
+
+} // namespace
+
+void peer_table::add(const registered_process& process, monotonic_time now)
+{
+    if (process.id == m_settings.instance)
+        return;
+    auto& entry = m_peers[process.id];
+    if (entry.address.port == 0)
+        entry.listed = now;
+    entry.address = {process.ip, process.port};
+}
+
+std::optional<std::vector<dispatch::endpoint_load>>
+peer_table::take(exchange::process_state state, const std::string& ip, monotonic_time now)
+{
+    if (state.process == m_settings.instance)
+        return std::nullopt;
+    auto& entry = m_peers[state.process];
+    if (entry.state && is_older(state, *entry.state))
+        return std::nullopt;
+    if (entry.state && entry.state->start != state.start) {
+        entry.previous = std::move(entry.state);
+        entry.previous_heard = entry.last_heard;
+        entry.state.reset();
+        entry.has_relayed = false;
+    }
+    std::vector<dispatch::endpoint_load> before;
+    if (entry.state)
+        before = std::move(entry.state->loads);
+    entry.address = {ip, state.port};
+    entry.last_heard = now;
+    entry.last_contact = now;
+    entry.state = std::move(state);
+    return before;
+}
+
+peer_table::peer* peer_table::take(const exchange::near_update& update, monotonic_time now)
+{
+    const auto found = m_peers.find(update.process);
+    if (found == m_peers.end() || !found->second.state || found->second.state->start != update.start)
+        return nullptr;
+    auto& entry = found->second;
+    entry.last_contact = now;
+    entry.is_reading = update.is_reading;
+    entry.store_answered = now - update.store_answer_age;
+    return &entry;
+}
+
+void peer_table::take(const exchange::domain_report& report, const std::string& ip, monotonic_time now)
+{
+    if (report.domain == m_settings.domain)
+        return;
+    auto& known = m_domain_reports[report.process];
+    if (known.heard != monotonic_time{} && is_older(report, known.report))
+        return;
+    known = {report, {ip, report.port}, now};
+}
+
+void peer_table::take(const exchange::deployment_report& report, monotonic_time now)
+{
+    const auto sender = m_peers.find(report.process);
+    if (sender == m_peers.end() || !is_in_domain(sender->second))
+        return;
+    auto& known = m_deployment_reports[report.process];
+    if (known.heard != monotonic_time{} && is_older(report, known.report))
+        return;
+    known = {report, now};
+    sender->second.last_contact = now;
+    sender->second.has_relayed = true;
+}
+
+bool peer_table::accepts(const exchange::usage_update& update) const
+{
+    if (update.process == m_settings.instance)
+        return false;
+    if (!update.domain.empty())
+        return uses_relays() && update.domain != m_settings.domain;
+    const auto sender = m_peers.find(update.process);
+    return !uses_relays() || (sender != m_peers.end() && is_in_domain(sender->second));
+}
+
+std::vector<instance_id> peer_table::remove_dead(monotonic_time now)
+{
+    std::vector<instance_id> removed;
+    std::erase_if(m_peers, [&](const auto& item) {
+        if (condition_of(item.second, now) != condition::dead)
+            return false;
+        removed.push_back(item.first);
+        return true;
+    });
+    const auto is_outdated = [&](const auto& item) {
+        return now - item.second.heard > dead_after;
+    };
+    std::erase_if(m_domain_reports, is_outdated);
+    std::erase_if(m_deployment_reports, is_outdated);
+    return removed;
+}
+
+milliseconds peer_table::interval() const
+{
+    const auto count = std::max(m_peers.size(), peers_at_minimum_interval);
+    return minimum_interval * static_cast<std::int64_t>(count) /
+           static_cast<std::int64_t>(peers_at_minimum_interval);
+}
+
+peer_table::condition peer_table::condition_of(const peer& entry, monotonic_time now) const
+{
+    const auto last = std::max(entry.last_heard, entry.listed);
+    if (now - last > dead_after || (entry.state && entry.state->is_leaving && now - last > suspect_after))
+        return condition::dead;
+    const auto limit = std::max<nanoseconds>(suspect_after, interval() * 8);
+    return entry.state && now - entry.last_heard <= limit ? condition::alive : condition::suspected;
+}
+
+bool peer_table::is_near(const peer& entry) const
+{
+    if (!entry.state)
+        return false;
+    const auto region = m_settings.regions.find(entry.state->domain);
+    return region == m_settings.regions.end() || region->second == m_settings.region;
+}
+
+bool peer_table::is_in_domain(const peer& entry) const
+{
+    return entry.state && entry.state->domain == m_settings.domain;
+}
+
+bool peer_table::uses_relays() const
+{
+    return m_peers.size() > maximum_peers_without_relays;
+}
+
+bool peer_table::is_relay_candidate(const peer& entry, monotonic_time now) const
+{
+    const bool is_silent_relay = entry.has_relayed && now - entry.last_contact > relay_timeout;
+    return is_in_domain(entry) && !entry.state->is_leaving && !is_silent_relay &&
+           condition_of(entry, now) == condition::alive;
+}
+
+bool peer_table::is_relay(monotonic_time now) const
+{
+    if (!uses_relays())
+        return false;
+    // The holder of the lease needs the sums of all failure domains for its duties.
+    if (m_lease_number != 0)
+        return true;
+    const auto own_rank = hash64(m_settings.instance.value());
+    const auto before = std::ranges::count_if(m_peers, [&](const auto& item) {
+        return is_relay_candidate(item.second, now) && hash64(item.first.value()) < own_rank;
+    });
+    return static_cast<std::size_t>(before) < relays_per_domain;
+}
+
+std::vector<settings::socket_address> peer_table::relays(monotonic_time now) const
+{
+    std::map<std::uint64_t, const peer*> ranked;
+    std::vector<settings::socket_address> result;
+    for (const auto& [id, entry] : m_peers) {
+        if (!is_relay_candidate(entry, now))
+            continue;
+        if (entry.state->lease_number != 0)
+            result.push_back(entry.address);
+        else
+            ranked.emplace(hash64(id.value()), &entry);
+    }
+    for (const auto& [rank, entry] : ranked) {
+        if (result.size() < relays_per_domain)
+            result.push_back(entry->address);
+    }
+    return result;
+}
+
+std::vector<settings::socket_address> peer_table::relays_of_other_domains(monotonic_time now) const
+{
+    std::vector<settings::socket_address> result;
+    std::map<failure_domain_id, std::size_t> known;
+    for (const auto& [id, entry] : m_domain_reports) {
+        if (now - entry.heard > relay_timeout)
+            continue;
+        result.push_back(entry.address);
+        ++known[entry.report.domain];
+    }
+    std::map<failure_domain_id, std::map<std::uint64_t, const peer*>> ranked;
+    for (const auto& [id, entry] : m_peers) {
+        const bool has_reported = m_domain_reports.contains(id);
+        if (entry.state && !is_in_domain(entry) && !entry.state->is_leaving && !has_reported &&
+            condition_of(entry, now) != condition::dead)
+            ranked[entry.state->domain].emplace(hash64(id.value()), &entry);
+    }
+    for (const auto& [domain, peers] : ranked) {
+        auto count = known[domain];
+        for (auto next = peers.begin(); next != peers.end() && count < relays_per_domain; ++next, ++count)
+            result.push_back(next->second->address);
+    }
+    return result;
+}
+
+std::vector<const peer_table::peer*> peer_table::domain_peers() const
+{
+    std::vector<const peer*> result;
+    for (const auto& [id, entry] : m_peers) {
+        if (is_in_domain(entry))
+            result.push_back(&entry);
+    }
+    return result;
+}
+
+std::map<failure_domain_id, const peer_table::received_domain_report*> peer_table::newest_reports() const
+{
+    std::map<failure_domain_id, const received_domain_report*> result;
+    if (!uses_relays())
+        return result;
+    for (const auto& [id, entry] : m_domain_reports) {
+        auto& newest = result[entry.report.domain];
+        if (newest == nullptr || entry.heard > newest->heard)
+            newest = &entry;
+    }
+    return result;
+}
+
+const peer_table::received_deployment_report* peer_table::newest_deployment_report() const
+{
+    const received_deployment_report* newest = nullptr;
+    for (const auto& [id, entry] : m_deployment_reports) {
+        if (newest == nullptr || entry.heard > newest->heard)
+            newest = &entry;
+    }
+    return newest;
+}
+
+deployment_view peer_table::view(monotonic_time now) const
+{
+    deployment_view result;
+    const bool is_relaying = is_relay(now);
+    const auto* deployment = uses_relays() && !is_relaying ? newest_deployment_report() : nullptr;
+    for (const auto& [id, entry] : m_peers) {
+        const auto state = condition_of(entry, now);
+        if (state == condition::dead)
+            continue;
+        const bool is_summed = deployment != nullptr || (is_relaying && !is_in_domain(entry));
+        const auto age = elapsed(std::max(entry.last_heard, entry.listed), now);
+        result.peers.push_back(
+            {entry.state ? &*entry.state : nullptr, age, state == condition::alive, false, is_summed});
+        if (entry.previous)
+            result.peers.push_back(
+                {&*entry.previous, elapsed(entry.previous_heard, now), false, true, is_summed});
+    }
+    const auto add = [&](const auto& received) {
+        result.summaries.push_back({&received.report.accounts, received.report.processes,
+                                    received.report.coverage, elapsed(received.heard, now)});
+    };
+    if (deployment != nullptr)
+        add(*deployment);
+    if (is_relaying) {
+        for (const auto& [domain, received] : newest_reports())
+            add(*received);
+    }
+    return result;
+}
+
+std::vector<dispatch::store_reader_candidate> peer_table::reader_candidates(monotonic_time now) const
+{
+    std::vector<dispatch::store_reader_candidate> others;
+    for (const auto& [id, entry] : m_peers) {
+        if (is_in_domain(entry) && !entry.state->is_leaving && condition_of(entry, now) == condition::alive)
+            others.push_back({id, entry.is_reading, elapsed(entry.store_answered, now)});
+    }
+    return others;
+}
+
+exchange::lease_sighting peer_table::lease_sighting(monotonic_time now) const
+{
+    exchange::lease_sighting best;
+    const auto add = [&](std::uint64_t number, milliseconds age) {
+        if (number > best.number || (number == best.number && age < best.age))
+            best = {number, age};
+    };
+    for (const auto& [id, entry] : m_peers) {
+        if (entry.state && entry.state->lease_number != 0)
+            add(entry.state->lease_number, elapsed(entry.last_heard, now));
+    }
+    for (const auto& [id, entry] : m_domain_reports)
+        add(entry.report.lease.number, entry.report.lease.age + elapsed(entry.heard, now));
+    for (const auto& [id, entry] : m_deployment_reports)
+        add(entry.report.lease.number, entry.report.lease.age + elapsed(entry.heard, now));
+    return best;
+}
+
+bool peer_table::has_live_lease_holder(monotonic_time now) const
+{
+    const auto seen = lease_sighting(now);
+    const auto limit =
+        uses_relays() ? relayed_lease_holder_timeout : std::max(lease_holder_timeout, interval() * 4);
+    return seen.number != 0 && seen.age <= limit;
+}
+
+std::optional<newer_peer> peer_table::find_newer_peer(const known_versions& own, monotonic_time now) const
+{
+    std::optional<newer_peer> best;
+    const auto add = [&](const settings::socket_address& address, const known_versions& versions) {
+        const bool is_newer = versions.configuration > own.configuration || versions.list > own.list;
+        const auto known =
+            best ? known_versions{best->configuration_version, best->list_version} : known_versions{};
+        if (is_newer && versions > known)
+            best = newer_peer{address, versions.configuration, versions.list};
+    };
+    for (const auto& [id, entry] : m_peers) {
+        if (condition_of(entry, now) == condition::alive)
+            add(entry.address, {entry.state->configuration_version, entry.state->list_version});
+    }
+    for (const auto& [id, entry] : m_domain_reports) {
+        if (now - entry.heard <= relay_timeout)
+            add(entry.address, {entry.report.configuration_version, entry.report.list_version});
+    }
+    return best;
+}
+
+std::map<failure_domain_id, exchange::service_demand> peer_table::demand_of(const service_id& service,
+                                                                            monotonic_time now) const
+{
+    std::map<failure_domain_id, exchange::service_demand> result;
+    const auto add = [&](const failure_domain_id& domain,
+                         const std::vector<exchange::service_demand>& demands) {
+        const auto found = std::ranges::find(demands, service, &exchange::service_demand::service);
+        if (found == demands.end())
+            return;
+        auto& sum = result[domain];
+        sum.service = service;
+        sum.tokens_per_second += found->tokens_per_second;
+        sum.running += found->running;
+    };
+    for (const auto& [id, entry] : m_peers) {
+        const bool is_reported = uses_relays() && !is_in_domain(entry);
+        if (!is_reported && condition_of(entry, now) == condition::alive)
+            add(entry.state->domain, entry.state->services);
+    }
+    for (const auto& [domain, received] : newest_reports())
+        add(domain, received->report.services);
+    return result;
+}
+
+monotonic_time peer_table::domain_counts_complete_until(monotonic_time now) const
+{
+    auto result = now;
+    for (const auto& [id, entry] : m_peers) {
+        const bool has_counts = entry.state && !entry.state->is_leaving;
+        const bool is_reported = uses_relays() && !is_in_domain(entry);
+        if (has_counts && !is_reported && condition_of(entry, now) != condition::dead)
+            result = std::min(result, entry.last_heard);
+    }
+    return result;
+}
+
+monotonic_time peer_table::counts_complete_until(monotonic_time now) const
+{
+    auto result = domain_counts_complete_until(now);
+    for (const auto& [domain, received] : newest_reports())
+        result = std::min(result, received->heard - received->report.counts_age);
+    // Counts made shortly before may still be in transit.
+    return result - maximum_delivery_time;
+}
+
+} // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 
 namespace siskinwharf::forwarding {
 
@@ -24,15 +23,6 @@
     return result;
 }
 
-dispatch::quota_usage use_of(const exchange::process_state& state, const account_id& account)
-{
-    for (const auto& use : state.accounts) {
-        if (use.account == account)
-            return {static_cast<double>(use.in_window), static_cast<double>(use.per_second)};
-    }
-    return {};
-}
-
 } // namespace
 
 traffic_state::traffic_state(const process_settings& settings, std::uint64_t start, usage::wall_time wall,
@@ -40,6 +30,7 @@
     : m_settings(settings),
       m_started(now),
       m_balancer(balancer_settings_of(settings)),
+      m_quotas(settings.bounds, now),
       m_ledger(settings.instance, start),
       m_clock(wall, now),
       m_processes(1 + settings.seeds.size())
@@ -51,16 +42,7 @@
     if (m_snapshot && content.version <= m_snapshot->version())
         return false;
     m_snapshot = std::make_shared<const deployment::snapshot>(std::move(content));
-    std::erase_if(m_quotas,
-                  [this](const auto& item) { return m_snapshot->find_account(item.first) == nullptr; });
-    for (const auto& account : m_snapshot->content().accounts) {
-        const dispatch::quota_limit limit{account.quota_per_second, account.quota_burst,
-                                          m_settings.bounds.quota_window, m_settings.bounds.quota_overage,
-                                          m_settings.bounds.quota_slack};
-        const auto [quota, is_new] = m_quotas.try_emplace(account.id, limit, now);
-        if (!is_new)
-            quota->second.set_limit(limit);
-    }
+    m_quotas.set_accounts(m_snapshot->content().accounts, now);
     return true;
 }
 
@@ -76,49 +58,17 @@
     m_quarantine.merge(state.crashes, now);
 }
 
-double traffic_state::window_coverage(const std::vector<peer_view>& peers, monotonic_time now) const
-{
-    const auto covered = [this](nanoseconds uptime) {
-        return std::min(1.0, std::chrono::duration<double>(uptime) / m_settings.bounds.quota_window);
-    };
-    // What a peer admitted before it restarted is known from its earlier messages.
-    std::set<instance_id> restarted;
-    for (const auto& peer : peers) {
-        if (peer.has_ended)
-            restarted.insert(peer.state->process);
-    }
-    double sum = covered(now - m_started);
-    double processes = 1;
-    for (const auto& peer : peers) {
-        if (!peer.is_alive)
-            continue;
-        sum += restarted.contains(peer.state->process) ? 1.0 : covered(peer.state->uptime + peer.age);
-        processes += 1;
-    }
-    return sum / processes;
-}
-
-void traffic_state::set_peers(const std::vector<peer_view>& peers, monotonic_time now)
+void traffic_state::set_peers(const deployment_view& view, monotonic_time now)
 {
     m_processes = 1;
-    for (const auto& peer : peers)
-        m_processes += peer.has_ended ? 0 : 1;
     std::vector<dispatch::endpoint_load> loads;
-    for (const auto& peer : peers) {
+    for (const auto& peer : view.peers) {
+        m_processes += peer.has_ended ? 0 : 1;
         if (peer.is_alive)
             loads.insert(loads.end(), peer.state->loads.begin(), peer.state->loads.end());
     }
     m_balancer.set_peer_loads(loads);
-    const auto coverage = window_coverage(peers, now);
-    for (auto& [account, quota] : m_quotas) {
-        std::vector<dispatch::peer_usage> uses;
-        uses.reserve(peers.size());
-        for (const auto& peer : peers)
-            uses.push_back({peer.state == nullptr ? dispatch::quota_usage{} : use_of(*peer.state, account),
-                            peer.age, peer.has_ended});
-        quota.set_peer_usage(dispatch::estimate_peer_usage(quota.use(now), uses, quota.limit()), m_processes,
-                             coverage, now);
-    }
+    m_quotas.set_peers(view, now);
     m_quarantine.expire(now);
     m_ledger.forget(current_window(now));
 }
@@ -132,16 +82,15 @@
     return static_cast<double>(request.work.prompt_tokens + request.work.answer_tokens);
 }
 
-bool traffic_state::take_quota(const deployment::account& account, double amount, monotonic_time now)
+bool traffic_state::take_quota(const deployment::account& account, double amount, double draw,
+                               monotonic_time now)
 {
-    const auto found = m_quotas.find(account.id);
-    return found == m_quotas.end() || found->second.try_acquire(amount, now);
+    return m_quotas.take(account.id, amount, draw, now);
 }
 
 void traffic_state::refund_quota(const deployment::account& account, double amount, monotonic_time now)
 {
-    if (const auto found = m_quotas.find(account.id); found != m_quotas.end())
-        found->second.refund(amount, now);
+    m_quotas.refund(account.id, amount, now);
 }
 
 traffic_state::service_traffic& traffic_state::traffic_of(const service_id& service)
@@ -198,15 +147,8 @@
     state.wall = m_clock.uncorrected(now);
     state.configuration_version = m_snapshot ? m_snapshot->version() : 0;
     state.loads = exchange::told_loads(m_balancer.own_loads());
-    for (const auto& [account, quota] : m_quotas) {
-        const auto use = quota.use(now);
-        if (use.in_window > 0)
-            state.accounts.push_back(
-                {account, static_cast<std::uint64_t>(std::llround(use.in_window)),
-                 static_cast<std::uint64_t>(std::llround(std::max(use.per_second, 0.0)))});
-    }
-    for (const auto& [service, traffic] : m_services)
-        state.services.push_back(demand_of(service, now));
+    state.accounts = m_quotas.own_use(now);
+    state.services = demands(now);
     state.crashes = m_quarantine.records(now, maximum_crashes_per_message);
 }
 
@@ -215,4 +157,17 @@
     return m_ledger.own_entries(current_window(now) - shared_usage_windows);
 }
 
+std::vector<usage::usage_entry> traffic_state::domain_usage_to_share(monotonic_time now) const
+{
+    return m_ledger.domain_entries(current_window(now) - shared_usage_windows);
+}
+
+std::vector<exchange::service_demand> traffic_state::demands(monotonic_time now) const
+{
+    std::vector<exchange::service_demand> result;
+    for (const auto& [service, traffic] : m_services)
+        result.push_back(demand_of(service, now));
+    return result;
+}
+
 } // namespace siskinwharf::forwarding
--- a/Libraries/usage/include/siskinwharf/usage/usage_ledger.h
+++ b/Libraries/usage/include/siskinwharf/usage/usage_ledger.h
@@ -43,8 +43,14 @@
     /// Merges the counts that another process reports about itself. Older or repeated copies have no effect.
     void merge(const usage_entry& entry);
 
+    /// Merges the sum over the processes of another failure domain. The processes of such a domain must not
+    /// be merged one by one as well.
+    void merge_domain(const failure_domain_id& domain, const usage_entry& sum);
+
     /// Entries of this process for window `first` and later.
     [[nodiscard]] std::vector<usage_entry> own_entries(window_number first) const;
+    /// Sums over this process and those merged one by one, for window `first` and later.
+    [[nodiscard]] std::vector<usage_entry> domain_entries(window_number first) const;
     /// Sum over all processes; empty for an unknown window.
     [[nodiscard]] window_counts total(window_number window) const;
     /// Removes the windows more than `kept_windows` before `current`.
@@ -55,6 +61,7 @@
 
     process_key m_own;
     std::map<window_number, std::map<process_key, window_counts>> m_windows;
+    std::map<window_number, std::map<failure_domain_id, window_counts>> m_domains;
 };
 
 /// Encodes counts as `account=count` pairs separated by commas, the format of a stored report.
--- a/Libraries/usage/src/usage_ledger.cpp
+++ b/Libraries/usage/src/usage_ledger.cpp
@@ -9,6 +9,28 @@
 
 namespace siskinwharf::usage {
 
+namespace {
+
+void raise_to(window_counts& known, const window_counts& counts)
+{
+    for (const auto& [account, count] : counts) {
+        auto& value = known[account];
+        value = std::max(value, count);
+    }
+}
+
+/// Adds the counts of all sources in one window.
+template<typename Sources>
+void add_all(const Sources& sources, window_counts& sum)
+{
+    for (const auto& [source, counts] : sources) {
+        for (const auto& [account, count] : counts)
+            sum[account] += count;
+    }
+}
+
+} // namespace
+
 void usage_ledger::add(const account_id& account, window_number window)
 {
     ++m_windows[window][m_own][account];
@@ -19,11 +41,12 @@
     const process_key key{entry.process, entry.start};
     if (key == m_own)
         return;
-    auto& known = m_windows[entry.window][key];
-    for (const auto& [account, count] : entry.counts) {
-        auto& value = known[account];
-        value = std::max(value, count);
-    }
+    raise_to(m_windows[entry.window][key], entry.counts);
+}
+
+void usage_ledger::merge_domain(const failure_domain_id& domain, const usage_entry& sum)
+{
+    raise_to(m_domains[sum.window][domain], sum.counts);
 }
 
 std::vector<usage_entry> usage_ledger::own_entries(window_number first) const
@@ -39,19 +62,28 @@
 window_counts usage_ledger::total(window_number window) const
 {
     window_counts sum;
-    const auto found = m_windows.find(window);
-    if (found == m_windows.end())
-        return sum;
-    for (const auto& [process, counts] : found->second) {
-        for (const auto& [account, count] : counts)
-            sum[account] += count;
-    }
+    if (const auto found = m_windows.find(window); found != m_windows.end())
+        add_all(found->second, sum);
+    if (const auto found = m_domains.find(window); found != m_domains.end())
+        add_all(found->second, sum);
     return sum;
 }
 
+std::vector<usage_entry> usage_ledger::domain_entries(window_number first) const
+{
+    std::vector<usage_entry> entries;
+    for (auto window = m_windows.lower_bound(first); window != m_windows.end(); ++window) {
+        usage_entry entry{m_own.first, m_own.second, window->first, {}};
+        add_all(window->second, entry.counts);
+        entries.push_back(std::move(entry));
+    }
+    return entries;
+}
+
 void usage_ledger::forget(window_number current)
 {
     m_windows.erase(m_windows.begin(), m_windows.lower_bound(current - kept_windows));
+    m_domains.erase(m_domains.begin(), m_domains.lower_bound(current - kept_windows));
 }
 
 std::string encode(const window_counts& counts)
--- a/Libraries/usage/tests/usage_test.cpp
+++ b/Libraries/usage/tests/usage_test.cpp
@@ -29,6 +29,20 @@
     CHECK(reader.total(4) == window_counts{{account_id("x"), 7}});
 }
 
+TEST_CASE("sums of other failure domains are counted once, whichever of their relays sends them")
+{
+    usage_ledger reader(instance_id("r"), 9);
+    reader.add(account_id("x"), 4);
+    reader.merge({instance_id("a"), 1, 4, {{account_id("x"), 5}}});
+    const failure_domain_id domain("montego-a");
+    reader.merge_domain(domain, {instance_id("first-relay"), 3, 4, {{account_id("x"), 10}}});
+    reader.merge_domain(domain, {instance_id("second-relay"), 7, 4, {{account_id("x"), 11}}});
+    CHECK(reader.total(4) == window_counts{{account_id("x"), 17}});
+    // The sums of other domains are not passed on.
+    CHECK(reader.domain_entries(4) ==
+          std::vector<usage_entry>{{instance_id("r"), 9, 4, {{account_id("x"), 6}}}});
+}
+
 TEST_CASE("stored counts are decoded and damaged ones are an error")
 {
     const window_counts counts{{account_id("a"), 3}, {account_id("b=c"), 0}};
