Http, Forwarding: Bound what an endpoint can send without end

Bodies of up to 16 MiB were held whole for each request.

Ruled out: header fields and trailers without end (limited by the parser), bytes that are no response, a body without end (limited to 16 MiB before).

--- a/Libraries/forwarding/src/event_splitter.cpp
+++ b/Libraries/forwarding/src/event_splitter.cpp
@@ -1,5 +1,6 @@
 #include "event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace siskinwharf::forwarding {
@@ -27,6 +28,18 @@
     return std::nullopt;
 }
 
+/// Whether an event consists of comments and empty lines only.
+bool is_empty(std::string_view event)
+{
+    while (!event.empty()) {
+        if (event.front() != ':' && event.front() != '\n' && event.front() != '\r')
+            return false;
+        const auto end = event.find('\n');
+        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    }
+    return true;
+}
+
 std::optional<std::uint64_t> number_of(std::string_view text)
 {
     std::uint64_t value = 0;
@@ -54,20 +67,23 @@
 
 std::string event_splitter::add(std::string_view part)
 {
+    // The end of an event may lie across two parts. What was searched before is not searched again.
+    auto searched = m_pending.size() - std::min(m_pending.size(), event_end.size() - 1);
     m_pending.append(part);
     std::string whole;
     std::size_t start = 0;
     while (true) {
-        const auto end = m_pending.find(event_end, start);
+        const auto end = m_pending.find(event_end, searched);
         if (end == std::string::npos)
             break;
         const auto size = end + event_end.size() - start;
         const auto event = std::string_view(m_pending).substr(start, size);
         if (accept(event)) {
             whole.append(event);
-            ++m_events;
+            m_events += is_empty(event) ? 0 : 1;
         }
         start += size;
+        searched = start;
     }
     m_pending.erase(0, start);
     return whole;
--- a/Libraries/forwarding/src/event_splitter.h
+++ b/Libraries/forwarding/src/event_splitter.h
@@ -11,15 +11,19 @@
 /// and drops duplicate events that a resumed stream sends again.
 class event_splitter {
 public:
+    static constexpr std::size_t maximum_event_bytes = 1U << 20U;
+
     /// Appends received bytes and returns the complete events that were not returned before.
     [[nodiscard]] std::string add(std::string_view part);
+    /// Whether more bytes than `maximum_event_bytes` are buffered without the end of an event.
+    [[nodiscard]] bool is_event_too_large() const { return m_pending.size() > maximum_event_bytes; }
     /// Whether an incomplete event is buffered.
     [[nodiscard]] bool has_partial_event() const { return !m_pending.empty(); }
     /// Discards an incomplete event before the stream is resumed.
     void drop_partial_event() { m_pending.clear(); }
     /// Id of the last complete event.
     [[nodiscard]] const std::optional<std::string>& last_id() const { return m_last_id; }
-    /// Number of complete events returned.
+    /// Number of complete events returned, without those that consist of comments.
     [[nodiscard]] std::uint64_t events() const { return m_events; }
 
 private:
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -35,6 +35,9 @@
 /// No retry is made with less time left than this.
 constexpr milliseconds minimum_attempt_time{50};
 constexpr std::size_t maximum_response_size = 16U << 20U;
+/// A response up to this size is held until it is whole, so that another endpoint can take over before. A
+/// larger one is passed on as it arrives, so that many at once fit into memory.
+constexpr std::size_t maximum_held_body = 256U << 10U;
 constexpr milliseconds retry_after_not_run{150};
 constexpr milliseconds retry_after_not_ready{700};
 constexpr int first_success = 200;
@@ -305,20 +308,15 @@
 asio::awaitable<attempt_end> forwarded_request::relay_response(http::part_stream& answer,
                                                                dispatch::attempt_ticket& ticket)
 {
-    http::response whole{answer.status(), m_codec.forwarded(answer.headers()), ""};
-    while (true) {
-        auto part = co_await answer.next_part(read_timeout(default_request_timeout));
-        if (part.empty())
-            break;
-        whole.body += part;
-        if (whole.body.size() > maximum_response_size)
-            throw http::call_error(http::call_stage::after_header, "the response is too large");
-    }
-    m_state.balancer().first_event(ticket, std::chrono::steady_clock::now());
-    count_run();
     if (m_writer.started())
         throw http::call_error(http::call_stage::after_header,
                                "the endpoint sent a plain response instead of resuming the stream");
+    http::response whole{answer.status(), m_codec.forwarded(answer.headers()), ""};
+    const auto end = co_await read_body(answer, whole);
+    m_state.balancer().first_event(ticket, std::chrono::steady_clock::now());
+    count_run();
+    if (end == body_end::passed_on)
+        co_return attempt_end::delivered;
     const bool can_repeat =
         whole.status >= first_server_error && is_repeatable() && m_sent_attempts < m_route->maximum_attempts;
     if (can_repeat && time_left().value_or(default_request_timeout) > minimum_attempt_time &&
@@ -333,6 +331,30 @@
     co_return attempt_end::delivered;
 }
 
+asio::awaitable<forwarded_request::body_end> forwarded_request::read_body(http::part_stream& answer,
+                                                                          http::response& whole)
+{
+    std::size_t size = 0;
+    while (true) {
+        auto part = co_await answer.next_part(read_timeout(default_request_timeout));
+        if (part.empty())
+            break;
+        size += part.size();
+        if (size > maximum_response_size)
+            throw http::call_error(http::call_stage::after_header, "the response is too large");
+        whole.body += part;
+        if (whole.body.size() <= maximum_held_body && !m_writer.started())
+            continue;
+        if (!m_writer.started())
+            co_await m_writer.begin(whole.status, whole.headers);
+        co_await m_writer.write(std::exchange(whole.body, {}));
+    }
+    if (!m_writer.started())
+        co_return body_end::held;
+    co_await m_writer.finish();
+    co_return body_end::passed_on;
+}
+
 asio::awaitable<void> forwarded_request::forward_events(http::part_stream& answer, std::string events)
 {
     if (!m_writer.started())
@@ -344,8 +366,14 @@
                                                                    dispatch::attempt_ticket& ticket)
 {
     bool has_event = false;
+    auto last_event = std::chrono::steady_clock::now();
     while (true) {
-        const auto part = co_await answer.next_part(read_timeout(event_timeout));
+        // Progress is counted in events: bytes that complete none do not extend the wait.
+        const auto waited = duration_cast<milliseconds>(std::chrono::steady_clock::now() - last_event);
+        if (may_try_elsewhere() && waited >= event_timeout)
+            throw http::call_error(http::call_stage::after_header, "no event in time", true);
+        const auto wait = read_timeout(event_timeout - waited);
+        const auto part = co_await answer.next_part(wait);
         if (part.empty())
             break;
         if (!has_event) {
@@ -353,8 +381,15 @@
             m_state.balancer().first_event(ticket, std::chrono::steady_clock::now());
             count_run();
         }
-        if (auto events = m_events.add(part); !events.empty())
-            co_await forward_events(answer, std::move(events));
+        const auto events_before = m_events.events();
+        auto events = m_events.add(part);
+        if (m_events.is_event_too_large())
+            throw http::call_error(http::call_stage::after_header, "an event is too large");
+        if (events.empty())
+            continue;
+        co_await forward_events(answer, std::move(events));
+        if (m_events.events() > events_before)
+            last_event = std::chrono::steady_clock::now();
     }
     if (m_events.has_partial_event())
         throw http::call_error(http::call_stage::after_header, "the stream ended within an event");
@@ -484,9 +519,12 @@
 milliseconds forwarded_request::read_timeout(milliseconds usual) const
 {
     const auto left = time_left().value_or(default_request_timeout);
-    if (!is_repeatable() || m_sent_attempts + 1 > m_route->maximum_attempts)
-        return left;
-    return std::min(left, std::max(usual, minimum_read_timeout));
+    return may_try_elsewhere() ? std::min(left, std::max(usual, minimum_read_timeout)) : left;
+}
+
+bool forwarded_request::may_try_elsewhere() const
+{
+    return is_repeatable() && m_sent_attempts + 1 <= m_route->maximum_attempts;
 }
 
 admission::content_key forwarded_request::content() const
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -55,6 +55,13 @@
     boost::asio::awaitable<attempt_end> receive(http::part_stream& answer, dispatch::attempt_ticket& ticket);
     boost::asio::awaitable<attempt_end> relay_response(http::part_stream& answer,
                                                        dispatch::attempt_ticket& ticket);
+    /// How the body of a response was read.
+    enum class body_end {
+        held,      ///< It is whole, and nothing has been sent to the caller.
+        passed_on, ///< The caller has received it.
+    };
+    /// Reads the body into `whole`, or passes a large one on.
+    boost::asio::awaitable<body_end> read_body(http::part_stream& answer, http::response& whole);
     boost::asio::awaitable<attempt_end> relay_event_stream(http::part_stream& answer,
                                                            dispatch::attempt_ticket& ticket);
     boost::asio::awaitable<void> forward_events(http::part_stream& answer, std::string events);
@@ -66,6 +73,8 @@
     void count_run();
 
     [[nodiscard]] bool is_repeatable() const;
+    /// Whether another attempt may follow the present one.
+    [[nodiscard]] bool may_try_elsewhere() const;
     [[nodiscard]] std::optional<milliseconds> time_left() const;
     /// Time left for the response to start, from the latency target of the route and the time left.
     [[nodiscard]] milliseconds response_start_budget() const;
--- a/Libraries/forwarding/src/peer_table.cpp
+++ b/Libraries/forwarding/src/peer_table.cpp
@@ -218,22 +218,32 @@
 std::vector<settings::socket_address> peer_table::relays_of_other_domains(monotonic_time now) const
 {
     std::vector<settings::socket_address> result;
-    std::map<failure_domain_id, std::size_t> known;
+    std::map<failure_domain_id, std::size_t> heard;
+    std::map<failure_domain_id, std::multimap<monotonic_time, const received_domain_report*>> silent;
     for (const auto& [id, entry] : m_domain_reports) {
-        if (now - entry.heard > relay_timeout)
+        if (now - entry.heard > relay_timeout) {
+            silent[entry.report.domain].emplace(entry.heard, &entry);
             continue;
+        }
         result.push_back(entry.address);
-        ++known[entry.report.domain];
+        ++heard[entry.report.domain];
     }
     std::map<failure_domain_id, std::map<std::uint64_t, const peer*>> ranked;
     for (const auto& [id, entry] : m_peers) {
-        const bool has_reported = m_domain_reports.contains(id);
-        if (entry.state && !is_in_domain(entry) && !entry.state->is_leaving && !has_reported &&
-            condition_of(entry, now) != condition::dead)
+        if (entry.state && !is_in_domain(entry) && !entry.state->is_leaving &&
+            !m_domain_reports.contains(id) && condition_of(entry, now) != condition::dead)
             ranked[entry.state->domain].emplace(hash64(id.value()), &entry);
     }
+    // Relays that are silent may only have heard nothing from this process. They are told first, and besides
+    // them the processes that would replace them.
+    for (const auto& [domain, entries] : silent) {
+        auto count = heard[domain];
+        for (auto next = entries.rbegin(); next != entries.rend() && count < relays_per_domain;
+             ++next, ++count)
+            result.push_back(next->second->address);
+    }
     for (const auto& [domain, peers] : ranked) {
-        auto count = known[domain];
+        auto count = heard[domain];
         for (auto next = peers.begin(); next != peers.end() && count < relays_per_domain; ++next, ++count)
             result.push_back(next->second->address);
     }
--- a/Libraries/http/src/client.cpp
+++ b/Libraries/http/src/client.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t line_buffer_bytes = 64U << 10U;
+constexpr std::size_t maximum_line_bytes = 1U << 20U;
 
 /// Writes the request and reads the response header. The stage of a thrown `call_error` says whether bytes
 /// were sent.
@@ -86,6 +87,8 @@
             throw call_error(call_stage::after_header, "stream failed: " + error.message(),
                              error == beast::error::timeout);
         m_pending.append(m_block.data(), m_block.size() - body.size);
+        if (m_pending.size() > maximum_line_bytes && m_pending.find('\n') == std::string::npos)
+            throw call_error(call_stage::after_header, "the stream sent a line without end");
     }
 
     std::string finish()
--- a/Libraries/http/src/part_stream.cpp
+++ b/Libraries/http/src/part_stream.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::size_t part_bytes = 16U << 10U;
+constexpr unsigned first_final_status = 200;
 /// Kept connections are given up this long before the server closes them.
 constexpr milliseconds lifetime_margin{700};
 
@@ -80,16 +81,14 @@
     {
         auto& used = *m_sent->connection;
         used.stream.expires_after(timeout);
-        while (true) {
-            const auto [error, size] =
-                co_await beast::http::async_read_header(used.stream, used.buffer, m_parser, use_tuple);
-            if (error)
-                throw call_error(call_stage::after_send, "no response: " + error.message(),
-                                 error == beast::error::timeout);
-            if (m_parser.get().result() != beast::http::status::continue_)
-                break;
+        const auto [error, size] =
+            co_await beast::http::async_read_header(used.stream, used.buffer, m_parser, use_tuple);
+        if (error)
+            throw call_error(call_stage::after_send, "no response: " + error.message(),
+                             error == beast::error::timeout);
+        // The request asks for none, so a server could send interim responses without end.
+        if (m_parser.get().result_int() < first_final_status)
             throw call_error(call_stage::after_send, "unexpected interim response");
-        }
         if (m_parser.is_done())
             finish();
     }
@@ -100,11 +99,12 @@
             co_return std::string();
         auto& used = *m_sent->connection;
         auto& body = m_parser.get().body();
+        // Set once, because bytes that frame the body are no progress.
+        used.stream.expires_after(timeout);
         while (true) {
             body.data = m_block.data();
             body.size = m_block.size();
             body.more = true;
-            used.stream.expires_after(timeout);
             auto [error, size] =
                 co_await beast::http::async_read_some(used.stream, used.buffer, m_parser, use_tuple);
             if (error == beast::http::error::need_buffer)
