Forwarding: Tell the state to new peers of the failure domain at once

Change: the registry names the failure domain of a process; a process tells its state at once to the peers of its failure domain that it finds there, and these answer with theirs. Not measured yet.

--- a/Libraries/forwarding/include/siskinwharf/forwarding/deployment_store.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/deployment_store.h
@@ -51,12 +51,13 @@
     std::uint64_t version = 0;
 };
 
-/// An entry process, which forwards requests to endpoints, as registered in the store: its id and the address
-/// under which its peers reach it.
+/// An entry process, which forwards requests to endpoints, as registered in the store: its id, the address
+/// under which its peers reach it and its failure domain.
 struct registered_process {
     instance_id id;
     std::string ip;
     std::uint16_t port = 0;
+    failure_domain_id domain;
 
     auto operator<=>(const registered_process&) const = default;
 };
--- a/Libraries/forwarding/include/siskinwharf/forwarding/peer_table.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/peer_table.h
@@ -54,7 +54,8 @@
 
     explicit peer_table(const process_settings& settings) : m_settings(settings) {}
 
-    void add(const registered_process& process, monotonic_time now);
+    /// Returns whether the process is a peer that was not known before.
+    bool add(const registered_process& process, monotonic_time now);
     /// Stores a state. Returns the peer's state before, without loads if there was none, or nothing if the
     /// message is older than the stored one.
     std::optional<std::vector<dispatch::endpoint_load>> take(exchange::process_state state,
--- a/Libraries/forwarding/src/peer_exchange.cpp
+++ b/Libraries/forwarding/src/peer_exchange.cpp
@@ -66,8 +66,15 @@
 void peer_exchange::add_peers(const std::vector<registered_process>& processes)
 {
     const auto now = std::chrono::steady_clock::now();
-    for (const auto& process : processes)
-        m_table.add(process, now);
+    std::vector<settings::socket_address> found;
+    for (const auto& process : processes) {
+        if (m_table.add(process, now) && process.domain == m_settings.domain)
+            found.push_back({process.ip, process.port});
+    }
+    // A round may take seconds, and until then this process would do alone what others do for it.
+    const auto state = encode_state(now, detail::state);
+    for (const auto& address : found)
+        send(state, address);
 }
 
 void peer_exchange::set_lease_number(std::uint64_t fencing)
@@ -363,8 +370,11 @@
     const auto loads_before = m_table.take(std::move(state), ip, now);
     if (!loads_before)
         return;
-    if (is_new)
+    if (is_new) {
         log_event(event::peer_alive, {{"peer", copy.process.value()}, {"address", ip}});
+        if (copy.domain == m_settings.domain)
+            send(encode_state(now, detail::state), {ip, copy.port});
+    }
     m_state.merge_peer_state(copy, now);
     // The loads of a peer that has just been found count from the next refresh on.
     if (!is_new)
--- a/Libraries/forwarding/src/peer_table.cpp
+++ b/Libraries/forwarding/src/peer_table.cpp
@@ -45,14 +45,16 @@
 
 } // namespace
 
-void peer_table::add(const registered_process& process, monotonic_time now)
+bool peer_table::add(const registered_process& process, monotonic_time now)
 {
     if (process.id == m_settings.instance)
-        return;
+        return false;
     auto& entry = m_peers[process.id];
-    if (entry.address.port == 0)
+    const bool is_new = entry.address.port == 0;
+    if (is_new)
         entry.listed = now;
     entry.address = {process.ip, process.port};
+    return is_new;
 }
 
 std::optional<std::vector<dispatch::endpoint_load>>
--- a/Services/siskinwharfd/src/forwarding_process.cpp
+++ b/Services/siskinwharfd/src/forwarding_process.cpp
@@ -130,7 +130,8 @@
                                            {"start", std::to_string(m_start)}});
         m_peers.start();
         m_watch.start();
-        m_watch.register_process({m_settings.instance, m_settings.peers.ip, m_settings.peers.port});
+        m_watch.register_process(
+            {m_settings.instance, m_settings.peers.ip, m_settings.peers.port, m_settings.domain});
         m_duties.start();
         m_callers.start();
         m_readiness.start();
