--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -41,6 +41,11 @@
     boost::asio::awaitable<void> run();
 
 private:
+    /// Timeout of a request for which neither the caller nor the route sets one.
+    static constexpr milliseconds default_request_timeout{300'000};
+    /// No retry is made with less time left than this.
+    static constexpr milliseconds minimum_attempt_time{50};
+
     /// Resolves the route and the client account and takes the quota. Returns the reason if the request is
     /// refused.
     [[nodiscard]] std::optional<http::refusal> admit();
--- /dev/null
+++ b/Libraries/forwarding/src/forwarded_request_relay.cpp
@@ -0,0 +1,144 @@
+// The part of forwarded_request that passes the response of an endpoint on to the caller.
+
+#include <fmt/format.h>
+
+#include "forwarded_request.h"
+#include "siskinwharf/http/error.h"
+
+namespace siskinwharf::forwarding {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using std::chrono::duration_cast;
+
+/// Time without an event in a resumable stream after which another endpoint takes over.
+constexpr milliseconds event_timeout{1'300};
+constexpr std::size_t maximum_response_size = 16U << 20U;
+/// A response up to this size is held until it is whole, so that another endpoint can take over before. A
+/// larger one is passed on as it arrives, so that many at once fit into memory.
+constexpr std::size_t maximum_held_body = 256U << 10U;
+constexpr int first_success = 200;
+constexpr int first_redirect = 300;
+constexpr int first_server_error = 500;
+
+bool is_success(int status)
+{
+    return status >= first_success && status < first_redirect;
+}
+
+} // namespace
+
+asio::awaitable<attempt_end> forwarded_request::receive(http::part_stream& answer,
+                                                        dispatch::attempt_ticket& ticket)
+{
+    const auto status = answer.status();
+    const auto facts = m_codec.inspect(status, answer.headers());
+    if (facts.id && *facts.id != m_call.id)
+        throw http::call_error(http::call_stage::after_header, "the response belongs to another request");
+    if (facts.is_not_run)
+        co_return attempt_end::not_run;
+    if (!facts.is_signed)
+        throw http::call_error(http::call_stage::after_header,
+                               fmt::format("response with status {} is not signed by the endpoint", status));
+    if (is_success(status) && m_route->kind == deployment::request_kind::stream)
+        co_return co_await relay_event_stream(answer, ticket);
+    co_return co_await relay_response(answer, ticket);
+}
+
+asio::awaitable<attempt_end> forwarded_request::relay_response(http::part_stream& answer,
+                                                               dispatch::attempt_ticket& ticket)
+{
+    if (m_writer.started())
+        throw http::call_error(http::call_stage::after_header,
+                               "the endpoint sent a plain response instead of resuming the stream");
+    http::response whole{answer.status(), m_codec.forwarded(answer.headers()), ""};
+    const auto end = co_await read_body(answer, whole);
+    m_state.balancer().first_event(ticket, std::chrono::steady_clock::now());
+    count_run();
+    if (end == body_end::passed_on)
+        co_return attempt_end::delivered;
+    const bool can_repeat =
+        whole.status >= first_server_error && is_repeatable() && m_sent_attempts < m_route->maximum_attempts;
+    if (can_repeat && time_left().value_or(default_request_timeout) > minimum_attempt_time &&
+        m_state.try_repeat(m_service->id, std::chrono::steady_clock::now())) {
+        m_may_have_run = true;
+        // The retry has been taken from the budget. `may_retry` must not take it twice.
+        m_has_reserved_retry = true;
+        m_failure_answer = std::move(whole);
+        co_return attempt_end::failed;
+    }
+    co_await m_writer.send(std::move(whole));
+    co_return attempt_end::delivered;
+}
+
+asio::awaitable<forwarded_request::body_end> forwarded_request::read_body(http::part_stream& answer,
+                                                                          http::response& whole)
+{
+    std::size_t size = 0;
+    while (true) {
+        auto part = co_await answer.next_part(read_timeout(default_request_timeout));
+        if (part.empty())
+            break;
+        size += part.size();
+        if (size > maximum_response_size)
+            throw http::call_error(http::call_stage::after_header, "the response is too large");
+        whole.body += part;
+        if (whole.body.size() <= maximum_held_body && !m_writer.started())
+            continue;
+        if (!m_writer.started())
+            co_await m_writer.begin(whole.status, whole.headers);
+        co_await m_writer.write(std::exchange(whole.body, {}));
+    }
+    if (!m_writer.started())
+        co_return body_end::held;
+    co_await m_writer.finish();
+    co_return body_end::passed_on;
+}
+
+asio::awaitable<void> forwarded_request::forward_events(http::part_stream& answer, std::string events)
+{
+    if (!m_writer.started())
+        co_await m_writer.begin(answer.status(), m_codec.forwarded(answer.headers()));
+    co_await m_writer.write(std::move(events));
+}
+
+asio::awaitable<attempt_end> forwarded_request::relay_event_stream(http::part_stream& answer,
+                                                                   dispatch::attempt_ticket& ticket)
+{
+    bool has_event = false;
+    auto last_event = std::chrono::steady_clock::now();
+    while (true) {
+        // Progress is counted in events: bytes that complete none do not extend the wait.
+        const auto waited = duration_cast<milliseconds>(std::chrono::steady_clock::now() - last_event);
+        if (may_try_elsewhere() && waited >= event_timeout)
+            throw http::call_error(http::call_stage::after_header, "no event in time", true);
+        const auto wait = read_timeout(event_timeout - waited);
+        const auto part = co_await answer.next_part(wait);
+        if (part.empty())
+            break;
+        if (!has_event) {
+            has_event = true;
+            m_state.balancer().first_event(ticket, std::chrono::steady_clock::now());
+            count_run();
+        }
+        const auto events_before = m_events.events();
+        auto events = m_events.add(part);
+        if (m_events.is_event_too_large())
+            throw http::call_error(http::call_stage::after_header, "an event is too large");
+        if (events.empty())
+            continue;
+        co_await forward_events(answer, std::move(events));
+        if (m_events.events() > events_before)
+            last_event = std::chrono::steady_clock::now();
+    }
+    if (m_events.has_partial_event())
+        throw http::call_error(http::call_stage::after_header, "the stream ended within an event");
+    if (!m_writer.started())
+        co_await m_writer.begin(answer.status(), m_codec.forwarded(answer.headers()));
+    co_await m_writer.finish();
+    co_return attempt_end::delivered;
+}
+
+} // namespace siskinwharf::forwarding
