--- a/Libraries/exchange/include/siskinwharf/exchange/process_state.h
+++ b/Libraries/exchange/include/siskinwharf/exchange/process_state.h
@@ -14,38 +14,39 @@
 
 namespace siskinwharf::exchange {
 
-/// What a process has admitted for one account, in requests or tokens as the account's quota counts.
+/// Use of one account's quota, in the unit of the quota: requests or tokens.
 struct account_use {
     account_id account;
-    std::uint64_t in_window = 0;        ///< In the window of the quota.
-    std::uint64_t per_second = 0;       ///< In the last second.
-    std::uint64_t asked_per_second = 0; ///< In the last second, including what was refused.
+    std::uint64_t in_window = 0;        ///< Admitted in the window of the quota.
+    std::uint64_t per_second = 0;       ///< Admitted in the last second.
+    std::uint64_t asked_per_second = 0; ///< Requested in the last second, including what was refused.
 
     auto operator<=>(const account_use&) const = default;
 };
 
-/// Work of one service at one process.
+/// Load of one service.
 struct service_demand {
     service_id service;
-    std::uint64_t tokens_per_second = 0; ///< Prompt tokens that the callers' requests ask to read.
-    std::uint32_t running = 0;
+    std::uint64_t tokens_per_second = 0; ///< Prompt tokens of the callers' requests.
+    std::uint32_t running = 0;           ///< Requests at endpoints.
 
     auto operator<=>(const service_demand&) const = default;
 };
 
-/// What a forwarding process tells its peers several times a second, in one datagram. Every part replaces
-/// what the same process said before, so that lost datagrams need no repetition.
+/// State of a forwarding process, which it sends to its peers several times a second in one datagram. Each
+/// field replaces the value of the previous message, so a lost datagram needs no retransmission.
 struct process_state {
     instance_id process;
-    std::uint64_t start = 0;    ///< Random number of the process's start.
-    std::uint64_t sequence = 0; ///< Rises with each message of one start.
-    usage::wall_time wall{};    ///< The process's own clock.
+    std::uint64_t start = 0;    ///< Random number that identifies the incarnation of the process.
+    std::uint64_t sequence = 0; ///< Increases with each message of one incarnation.
+    usage::wall_time wall{};    ///< Wall clock of the process.
     milliseconds uptime{0};
     std::uint64_t configuration_version = 0;
-    std::uint64_t list_version = 0; ///< Of the list of endpoints.
-    std::uint16_t port = 0;         ///< Of the HTTP interface for peers.
+    std::uint64_t list_version = 0; ///< Version of the endpoint list.
+    std::uint16_t port = 0;         ///< Port of the HTTP interface for peers.
     bool is_leaving = false;
-    std::uint64_t lease_number = 0; ///< Fencing number while the process holds the duties, otherwise 0.
+    std::uint64_t lease_number =
+        0; ///< Fencing number if the process holds the lease of the duties, otherwise 0.
     failure_domain_id domain;
     std::vector<dispatch::endpoint_load> loads;
     std::vector<account_use> accounts;
@@ -55,22 +56,22 @@
     bool operator==(const process_state&) const = default;
 };
 
-/// What near peers are to know at once. What changed at endpoints: several processes that place requests by
-/// an old state would choose the same one. And what a reader of the store has read, for those that rely on
-/// it. A lost one is made good by the next message.
+/// Changes that peers of the same region receive without waiting for the next state: loads of endpoints,
+/// because processes with an outdated state would all choose the same endpoint, and the versions that a
+/// reader of the store has read. The next state makes up for a lost update.
 struct near_update {
     instance_id process;
     std::uint64_t start = 0;
-    std::vector<dispatch::endpoint_load> loads; ///< All of the process's requests at the endpoints named.
+    std::vector<dispatch::endpoint_load> loads; ///< Total load of the process at each endpoint listed.
     std::uint64_t configuration_version = 0;
     std::uint64_t list_version = 0;
     bool is_reading = false;          ///< The process reads the store's changes itself.
-    milliseconds store_answer_age{0}; ///< Since the store last answered; counts while it is reading.
+    milliseconds store_answer_age{0}; ///< Time since the store last answered. Valid if `is_reading`.
 
     bool operator==(const near_update&) const = default;
 };
 
-/// Counts of usage, apart from the state, so that neither needs more than one packet.
+/// Usage counts, sent apart from the state so that each fits into one packet.
 struct usage_update {
     instance_id process;
     std::uint64_t start = 0;
@@ -94,13 +95,13 @@
 struct domain_report {
     instance_id process; ///< The relay.
     std::uint64_t start = 0;
-    std::uint64_t sequence = 0; ///< Rises with each message of one start.
+    std::uint64_t sequence = 0; ///< Increases with each message of one incarnation.
     failure_domain_id domain;
     std::uint32_t processes = 0;
     double coverage = 0; ///< Fraction of the quota window, 0 to 1, for which the usage is known.
     std::vector<account_use> accounts;
     std::vector<service_demand> services;
-    milliseconds counts_age{0}; ///< The relay has the counts of usage up to this time ago.
+    milliseconds counts_age{0}; ///< The relay has received all usage counts up to this time ago.
     lease_sighting lease;
     std::uint64_t configuration_version = 0;
     std::uint64_t list_version = 0;
@@ -113,7 +114,7 @@
 struct deployment_report {
     instance_id process; ///< The relay.
     std::uint64_t start = 0;
-    std::uint64_t sequence = 0; ///< Rises with each message of one start.
+    std::uint64_t sequence = 0; ///< Increases with each message of one incarnation.
     std::uint32_t processes = 0;
     double coverage = 0; ///< Fraction of the quota window, 0 to 1, for which the usage is known.
     std::vector<account_use> accounts;
@@ -124,20 +125,22 @@
 
 using message = std::variant<process_state, near_update, usage_update, domain_report, deployment_report>;
 
-/// Largest datagram in bytes that is read: what fits into one UDP datagram of IPv4.
+/// Size of the receive buffer in bytes, close to the maximum of a UDP datagram over IPv4.
 inline constexpr std::size_t largest_datagram = 60'000;
 
-/// Largest datagram in bytes that should be sent: a larger one is split into fragments, and is lost as a
-/// whole with any of them.
+/// Maximum size in bytes of a datagram that is sent. A larger one would be fragmented, and lost with any
+/// fragment.
 inline constexpr std::size_t packet_size = 1'400;
 
-/// Endpoints of which one message tells the load, so that it fits into a packet.
-inline constexpr std::size_t most_told_loads = 36;
+/// Maximum number of endpoint loads in one message, so that it fits into a packet.
+inline constexpr std::size_t maximum_loads_per_message = 36;
 
-/// The loads that matter most to others: long waits, then many requests. At most `most_told_loads`.
-[[nodiscard]] std::vector<dispatch::endpoint_load> told_loads(std::vector<dispatch::endpoint_load> loads);
+/// Returns at most `maximum_loads_per_message` loads: those with the most waiting tokens, then those with the
+/// most requests.
+[[nodiscard]] std::vector<dispatch::endpoint_load> select_loads(std::vector<dispatch::endpoint_load> loads);
 
-/// Counts in messages that each fit into a packet. `domain` is empty for the counts of one process.
+/// Splits usage counts into messages that each fit into a packet. `domain` is empty for the counts of one
+/// process.
 [[nodiscard]] std::vector<usage_update> usage_updates(const instance_id& process, std::uint64_t start,
                                                       const std::vector<usage::usage_entry>& entries,
                                                       const failure_domain_id& domain = failure_domain_id());
@@ -147,7 +150,7 @@
 [[nodiscard]] std::string encode(const usage_update& update);
 [[nodiscard]] std::string encode(const domain_report& report);
 [[nodiscard]] std::string encode(const deployment_report& report);
-/// Throws `exchange_error` for anything that `encode` does not produce.
+/// Throws `exchange_error` if the datagram is not the output of `encode`.
 [[nodiscard]] message decode(std::string_view datagram);
 
 } // namespace siskinwharf::exchange
--- a/Libraries/exchange/src/process_state.cpp
+++ b/Libraries/exchange/src/process_state.cpp
@@ -19,7 +19,7 @@
 using apache::thrift::transport::TMemoryBuffer;
 using protocol = apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer>;
 
-/// Generated code allocates a list before it reads the elements, so that their number is bounded.
+/// Maximum number of elements in a container. Generated code allocates a list before it reads the elements.
 constexpr std::int32_t container_limit = 16'384;
 constexpr double permille = 1'000;
 
@@ -33,7 +33,7 @@
     return static_cast<std::uint64_t>(value);
 }
 
-/// Amounts are never negative; a peer that sends such a value counts as having none.
+/// Treats a negative amount, which no correct peer sends, as 0.
 std::uint64_t to_amount(std::int64_t value)
 {
     return value < 0 ? 0 : static_cast<std::uint64_t>(value);
@@ -281,7 +281,7 @@
     return buffer->getBufferAsString();
 }
 
-/// Nothing if the datagram is another message.
+/// Returns nothing if the datagram contains another type of message.
 template<typename Wire>
 std::optional<Wire> read(std::string_view datagram)
 {
@@ -346,15 +346,15 @@
     return write(result);
 }
 
-std::vector<dispatch::endpoint_load> told_loads(std::vector<dispatch::endpoint_load> loads)
+std::vector<dispatch::endpoint_load> select_loads(std::vector<dispatch::endpoint_load> loads)
 {
-    if (loads.size() <= most_told_loads)
+    if (loads.size() <= maximum_loads_per_message)
         return loads;
     const auto weight = [](const dispatch::endpoint_load& load) {
         return std::pair(load.waiting_tokens, load.running);
     };
     std::ranges::sort(loads, std::greater(), weight);
-    loads.resize(most_told_loads);
+    loads.resize(maximum_loads_per_message);
     return loads;
 }
 
@@ -362,7 +362,7 @@
                                         const std::vector<usage::usage_entry>& entries,
                                         const failure_domain_id& domain)
 {
-    // A count, its account's length and the integers around it, at most.
+    // Maximum size of a count, the length of its account id and the integers around them.
     constexpr std::size_t entry_overhead = 16;
     std::vector<usage_update> result;
     std::size_t left = 0;
--- a/Libraries/exchange/tests/process_state_test.cpp
+++ b/Libraries/exchange/tests/process_state_test.cpp
@@ -126,12 +126,12 @@
     for (int endpoint = 0; endpoint < endpoints; ++endpoint)
         loads.push_back({endpoint_id("i-" + std::to_string(1'000'000'000 + endpoint)), 7,
                          static_cast<std::uint64_t>(endpoint) * 1'000});
-    state.loads = told_loads(loads);
+    state.loads = select_loads(loads);
     state.accounts.clear();
     for (int account = 0; account < 16; ++account)
         state.accounts.push_back({account_id("account" + std::to_string(account)), 9'000'000, 900'000});
     CHECK(encode(state).size() <= packet_size);
-    CHECK(state.loads.size() == most_told_loads);
+    CHECK(state.loads.size() == maximum_loads_per_message);
     CHECK(state.loads.front().waiting_tokens == 89'000);
 }
 
--- a/Libraries/forwarding/src/peer_exchange.cpp
+++ b/Libraries/forwarding/src/peer_exchange.cpp
@@ -315,7 +315,7 @@
     exchange::near_update update;
     update.process = m_settings.instance;
     update.start = m_start;
-    update.loads = exchange::told_loads(m_state.balancer().take_changed_loads());
+    update.loads = exchange::select_loads(m_state.balancer().take_changed_loads());
     update.configuration_version = m_state.configuration() ? m_state.configuration()->version() : 0;
     update.list_version = m_list_version;
     update.is_reading = m_is_reading;
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -146,7 +146,7 @@
     state.uptime = std::chrono::duration_cast<milliseconds>(now - m_started);
     state.wall = m_clock.uncorrected(now);
     state.configuration_version = m_snapshot ? m_snapshot->version() : 0;
-    state.loads = exchange::told_loads(m_balancer.own_loads());
+    state.loads = exchange::select_loads(m_balancer.own_loads());
     state.accounts = m_quotas.own_use(now);
     state.services = demands(now);
     state.crashes = m_quarantine.records(now, maximum_crashes_per_message);
