Control: Keep on-demand endpoints for the load of two failure domains

Cause: each failure domain kept on-demand endpoints for 0.6 of its load in case all reclaimable ones are lost.

Change: together they keep endpoints for the load of two failure domains.

--- a/Libraries/control/src/endpoint_planner.cpp
+++ b/Libraries/control/src/endpoint_planner.cpp
@@ -23,9 +23,9 @@
 /// Without load, each failure domain gets as many reclaimable endpoints as it has on-demand ones. Once the
 /// reclaimable endpoints serve, this share of the on-demand ones is kept.
 constexpr double initial_on_demand_share = 0.34;
-/// On-demand endpoints that each failure domain keeps, as a share of its peak load, in case all reclaimable
-/// endpoints are reclaimed at once and no replacements are available.
-constexpr double on_demand_floor_share = 0.6;
+/// Failure domains that may lose all reclaimable endpoints at once while no replacements are available. All
+/// failure domains together keep on-demand endpoints for the load of so many of them.
+constexpr double simultaneously_reclaimed_domains = 2;
 /// For this time after a refusal of reclaimable endpoints in a failure domain, its minimum is filled with
 /// on-demand endpoints and no reclaimable ones are added there.
 constexpr seconds refusal_hold_off{10};
@@ -88,14 +88,15 @@
                                              const std::vector<double>& demands,
                                              std::vector<endpoint_count>& wanted) const
 {
+    const auto share =
+        std::min(1.0, simultaneously_reclaimed_domains / static_cast<double>(snapshot.domains.size()));
     for (auto& entry : wanted) {
         if (entry.kind != instance_kind::on_demand)
             continue;
         for (std::size_t index = 0; index < demands.size(); ++index) {
             if (snapshot.domains[index].domain == entry.domain)
                 entry.count =
-                    std::max(entry.count,
-                             static_cast<std::uint32_t>(std::lround(demands[index] * on_demand_floor_share)));
+                    std::max(entry.count, static_cast<std::uint32_t>(std::lround(demands[index] * share)));
         }
     }
 }
--- a/Libraries/control/tests/endpoint_planner_test.cpp
+++ b/Libraries/control/tests/endpoint_planner_test.cpp
@@ -138,6 +138,33 @@
     CHECK(platform.cost() < 6);
 }
 
+TEST_CASE("with more failure domains the loss of two of them takes a smaller part of the load")
+{
+    // Guards against on-demand endpoints in each of many failure domains that stand for a loss of all of
+    // them.
+    fake_platform platform;
+    platform.snapshot.maximum = 26;
+    platform.snapshot.domains.clear();
+    constexpr int count = 6;
+    for (int index = 0; index < count; ++index)
+        platform.snapshot.domains.push_back({failure_domain_id("d" + std::to_string(index)), 1.0, 0, 13, 0});
+    constexpr double busy = 20;
+    monotonic_time now{seconds(1)};
+    for (int step = 0; step < 60; ++step, now += milliseconds(500)) {
+        set_load(platform.snapshot, step < 20 ? 0 : busy);
+        platform.step(now);
+    }
+    std::uint32_t on_demand = 0;
+    std::uint32_t surviving = 0;
+    for (std::size_t index = 0; index < platform.snapshot.domains.size(); ++index) {
+        const auto& domain = platform.snapshot.domains[index];
+        on_demand += domain.on_demand;
+        surviving += domain.on_demand + (index < 2 ? 0 : domain.reclaimable);
+    }
+    CHECK(on_demand <= busy * 2 / count + 1);
+    CHECK(surviving >= busy / 0.65);
+}
+
 TEST_CASE("no endpoints are removed before the first load was measured")
 {
     fake_platform platform;
