Dispatch, Forwarding: Handle thousands of endpoints with less work

Each change of the list compared each known endpoint with each listed one; each request looked up every endpoint by its id and hashed it; and of several peers with the newest list, all processes asked the first.

Change: a set of the listed ids; pointers to the states and kept hashes; the peer is picked by a hash of both processes. Not measured yet.

--- a/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_state.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_state.h
@@ -41,6 +41,7 @@
 /// come from the loads that peers report.
 struct endpoint_state {
     endpoint_record record;
+    std::uint64_t id_hash = 0;         ///< Hash of the endpoint's id.
     std::uint32_t running = 0;         ///< Own running requests.
     std::uint64_t waiting_tokens = 0;  ///< Own prompt tokens of requests without a first event.
     std::uint64_t reserved_tokens = 0; ///< Prompt and maximum answer tokens of all own running requests.
--- a/Libraries/dispatch/include/siskinwharf/dispatch/load_balancer.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/load_balancer.h
@@ -136,7 +136,8 @@
                                                 monotonic_time now) const;
     /// Expected time to the first event, or to the response at a service without engines.
     [[nodiscard]] double expected_ms(const endpoint_state& state, const deployment::service& wanted,
-                                     const workload& work, std::uint64_t prefill_tokens) const;
+                                     const latency_averages& times, const workload& work,
+                                     std::uint64_t prefill_tokens) const;
     /// Penalty for an endpoint of another region or failure domain.
     [[nodiscard]] double locality_penalty_ms(const endpoint_state& state) const;
     /// Prompt tokens that are probably not in the engine's cache.
@@ -148,7 +149,7 @@
 
     load_balancer_settings m_settings;
     std::unordered_map<endpoint_id, endpoint_state> m_endpoints;
-    std::map<service_id, std::vector<endpoint_id>> m_by_service;
+    std::map<service_id, std::vector<const endpoint_state*>> m_by_service; ///< Elements of `m_endpoints`.
     std::map<service_id, latency_averages> m_averages;
     /// Waiting tokens that were last published to peers; 0 if absent.
     std::map<endpoint_id, std::uint64_t> m_published_tokens;
--- a/Libraries/dispatch/src/load_balancer.cpp
+++ b/Libraries/dispatch/src/load_balancer.cpp
@@ -44,12 +44,6 @@
 /// Change of an engine's waiting tokens that is published to peers at once: about 20 ms of prefill.
 constexpr std::uint64_t published_change_tokens = 1'200;
 
-/// Rendezvous hash of a prompt prefix and an endpoint.
-std::uint64_t rendezvous_hash(std::uint64_t key, const endpoint_id& endpoint)
-{
-    return combine64(key, hash64(endpoint.value()));
-}
-
 /// Identifier of the last prompt part that other requests may share, or 0. The last part of a prompt is
 /// specific to its request.
 std::uint64_t last_shared_part_id(const workload& work)
@@ -83,9 +77,11 @@
             found != m_endpoints.end() && found->second.record.started_ms == record.started_ms)
             state = std::move(found->second);
         state.record = record;
-        m_by_service[record.service].push_back(record.id);
+        state.id_hash = hash64(record.id.value());
     }
     m_endpoints = std::move(next);
+    for (const auto& record : endpoints)
+        m_by_service[record.service].push_back(&m_endpoints.at(record.id));
 }
 
 void load_balancer::set_peer_loads(const std::vector<endpoint_load>& loads)
@@ -158,9 +154,9 @@
 }
 
 double load_balancer::expected_ms(const endpoint_state& state, const deployment::service& wanted,
-                                  const workload& work, std::uint64_t prefill) const
+                                  const latency_averages& times, const workload& work,
+                                  std::uint64_t prefill) const
 {
-    const auto& times = averages_of(wanted.id);
     const double slots = std::max(1U, state.record.slots);
     const double running = state.running + state.peers_running;
     double expected = state.record.region == m_settings.region
@@ -200,20 +196,23 @@
     const endpoint_state* in_backoff = nullptr;
     std::uint64_t best_hash = 0;
     const auto key = last_shared_part_id(work);
-    for (const auto& id : listed->second) {
-        const auto& state = m_endpoints.at(id);
-        if (state.record.is_leaving || std::ranges::find(tried, id) != tried.end())
+    result.endpoints.reserve(listed->second.size());
+    for (const auto* state : listed->second) {
+        if (state->record.is_leaving || std::ranges::find(tried, state->record.id) != tried.end())
             continue;
-        if (state.backoff_until > now) {
-            if (in_backoff == nullptr || state.backoff_until < in_backoff->backoff_until)
-                in_backoff = &state;
+        if (state->backoff_until > now) {
+            if (in_backoff == nullptr || state->backoff_until < in_backoff->backoff_until)
+                in_backoff = state;
             continue;
         }
-        result.endpoints.push_back(&state);
-        result.lowest_failure_rate = std::min(result.lowest_failure_rate, state.failure_rate);
-        if (key != 0 && state.record.domain == m_settings.domain && rendezvous_hash(key, id) >= best_hash) {
-            best_hash = rendezvous_hash(key, id);
-            result.preferred = &state;
+        result.endpoints.push_back(state);
+        result.lowest_failure_rate = std::min(result.lowest_failure_rate, state->failure_rate);
+        if (key == 0 || state->record.domain != m_settings.domain)
+            continue;
+        // Rendezvous hash of the prompt prefix and the endpoint.
+        if (const auto hash = combine64(key, state->id_hash); hash >= best_hash) {
+            best_hash = hash;
+            result.preferred = state;
         }
     }
     if (result.endpoints.empty() && in_backoff != nullptr)
@@ -229,6 +228,7 @@
     if (candidates.endpoints.empty())
         return placement_refusal{refusal_reason::no_endpoint, retry_after_without_endpoint, milliseconds(0)};
 
+    const auto& times = averages_of(wanted.id);
     const endpoint_state* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
     double best_expected = 0;
@@ -238,12 +238,12 @@
             prefill -=
                 std::min(prefill, static_cast<std::uint64_t>(static_cast<double>(shared_prefix_tokens(work)) *
                                                              assumed_cached_share));
-        const auto expected = expected_ms(*state, wanted, work, prefill);
+        const auto expected = expected_ms(*state, wanted, times, work, prefill);
         const auto penalty = (state->failure_rate - candidates.lowest_failure_rate) *
                              static_cast<double>(m_settings.failure_penalty.count());
         // Half a millisecond per running request spreads requests over endpoints of equal cost.
         const auto spread = static_cast<double>(state->running + state->peers_running) * 0.5;
-        const auto prefill_ms = static_cast<double>(prefill) / averages_of(wanted.id).tokens_per_ms;
+        const auto prefill_ms = static_cast<double>(prefill) / times.tokens_per_ms;
         const auto cost =
             expected + penalty + locality_penalty_ms(*state) + spread + prefill_ms * prefill_weight;
         if (cost < best_cost) {
--- a/Libraries/forwarding/src/deployment_watch.cpp
+++ b/Libraries/forwarding/src/deployment_watch.cpp
@@ -1,6 +1,7 @@
 #include "siskinwharf/forwarding/deployment_watch.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -256,8 +257,11 @@
             log_event(event::endpoint_leaving,
                       {{"endpoint", record.id.value()}, {"list", std::to_string(m_list_version)}});
     }
+    std::unordered_set<endpoint_id> present;
+    for (const auto& record : records)
+        present.insert(record.id);
     for (const auto& [id, known] : m_state.balancer().endpoints()) {
-        if (std::ranges::find(records, id, &dispatch::endpoint_record::id) == records.end()) {
+        if (!present.contains(id)) {
             log_event(event::endpoint_gone,
                       {{"endpoint", id.value()}, {"list", std::to_string(m_list_version)}});
             m_client.forget({known.record.ip, known.record.port});
--- a/Libraries/forwarding/src/peer_table.cpp
+++ b/Libraries/forwarding/src/peer_table.cpp
@@ -354,20 +354,28 @@
 std::optional<newer_peer> peer_table::find_newer_peer(const known_versions& own, monotonic_time now) const
 {
     std::optional<newer_peer> best;
-    const auto add = [&](const settings::socket_address& address, const known_versions& versions) {
-        const bool is_newer = versions.configuration > own.configuration || versions.list > own.list;
+    std::uint64_t best_rank = 0;
+    const auto own_hash = hash64(m_settings.instance.value());
+    const auto add = [&](const instance_id& id, const settings::socket_address& address,
+                         const known_versions& versions) {
+        if (versions.configuration <= own.configuration && versions.list <= own.list)
+            return;
         const auto known =
             best ? known_versions{best->configuration_version, best->list_version} : known_versions{};
-        if (is_newer && versions > known)
-            best = newer_peer{address, versions.configuration, versions.list};
+        // Processes that miss the same version ask different peers for it.
+        const auto rank = combine64(own_hash, hash64(id.value()));
+        if (versions < known || (best && versions == known && rank <= best_rank))
+            return;
+        best = newer_peer{address, versions.configuration, versions.list};
+        best_rank = rank;
     };
     for (const auto& [id, entry] : m_peers) {
         if (condition_of(entry, now) == condition::alive)
-            add(entry.address, {entry.state->configuration_version, entry.state->list_version});
+            add(id, entry.address, {entry.state->configuration_version, entry.state->list_version});
     }
     for (const auto& [id, entry] : m_domain_reports) {
         if (now - entry.heard <= relay_timeout)
-            add(entry.address, {entry.report.configuration_version, entry.report.list_version});
+            add(id, entry.address, {entry.report.configuration_version, entry.report.list_version});
     }
     return best;
 }
--- a/Libraries/forwarding/tests/peer_table_test.cpp
+++ b/Libraries/forwarding/tests/peer_table_test.cpp
@@ -213,6 +213,25 @@
     CHECK(told.contains(7'500));
 }
 
+TEST_CASE("processes that miss the same version ask different peers for it")
+{
+    // Guards against one peer that has to send each change to all others of a large failure domain.
+    std::set<int> asked;
+    for (int index = 0; index < domain_size; ++index) {
+        auto table = make_table(member(index), start);
+        for (int peer = 0; peer < 2; ++peer) {
+            auto state = make_state("entry-" + std::to_string(100 + peer), own_domain);
+            state.list_version = 8;
+            table.take(state, "10.0.0.1", start);
+        }
+        const auto newer = table.find_newer_peer({0, 7}, start);
+        REQUIRE(newer);
+        CHECK(newer->list_version == 8);
+        asked.insert(newer->address.port);
+    }
+    CHECK(asked.size() == 2);
+}
+
 TEST_CASE("the lease holder is seen through relays, and missed soon after it was last seen")
 {
     auto table = make_table(member(0), start);
