--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -241,7 +241,8 @@
             ++m_sent_attempts;
         if (m_is_caller_gone)
             end = attempt_end::caller_gone;
-        else if (const auto left = time_left(); left && left->count() <= 1 && end == attempt_end::failed)
+        else if (const auto left = time_left();
+                 left && *left <= minimum_time_left && end == attempt_end::failed)
             end = attempt_end::timed_out;
         log_event(
             event::attempt_broken,
@@ -374,7 +375,7 @@
     if (limit == milliseconds::max())
         return std::nullopt;
     const auto taken = duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_started);
-    return std::max(limit - taken, milliseconds(1));
+    return std::max(limit - taken, minimum_time_left);
 }
 
 milliseconds forwarded_request::response_start_budget() const
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -45,6 +45,8 @@
     static constexpr milliseconds default_request_timeout{300'000};
     /// No retry is made with less time left than this.
     static constexpr milliseconds minimum_attempt_time{50};
+    /// Result of `time_left` after the deadline.
+    static constexpr milliseconds minimum_time_left{1};
 
     /// Resolves the route and the client account and takes the quota. Returns the reason if the request is
     /// refused.
@@ -65,6 +67,8 @@
         held,      ///< It is whole, and nothing has been sent to the caller.
         passed_on, ///< The caller has received it.
     };
+    /// Throws `http::call_error` after the deadline.
+    void check_time_left() const;
     /// Reads the body into `whole`, or passes a large one on.
     boost::asio::awaitable<body_end> read_body(http::part_stream& answer, http::response& whole);
     boost::asio::awaitable<attempt_end> relay_event_stream(http::part_stream& answer,
--- a/Libraries/forwarding/src/forwarded_request_relay.cpp
+++ b/Libraries/forwarding/src/forwarded_request_relay.cpp
@@ -73,11 +73,19 @@
     co_return attempt_end::delivered;
 }
 
+void forwarded_request::check_time_left() const
+{
+    // A read does not time out while bytes keep arriving.
+    if (const auto left = time_left(); left && *left <= minimum_time_left)
+        throw http::call_error(http::call_stage::after_header, "the response did not end in time", true);
+}
+
 asio::awaitable<forwarded_request::body_end> forwarded_request::read_body(http::part_stream& answer,
                                                                           http::response& whole)
 {
     std::size_t size = 0;
     while (true) {
+        check_time_left();
         auto part = co_await answer.next_part(read_timeout(default_request_timeout));
         if (part.empty())
             break;
@@ -110,6 +118,7 @@
     bool has_event = false;
     auto last_event = std::chrono::steady_clock::now();
     while (true) {
+        check_time_left();
         // Progress is counted in events: bytes that complete none do not extend the wait.
         const auto waited = duration_cast<milliseconds>(std::chrono::steady_clock::now() - last_event);
         if (may_try_elsewhere() && waited >= event_timeout)
--- a/Libraries/forwarding/tests/endless_response_test.cpp
+++ b/Libraries/forwarding/tests/endless_response_test.cpp
@@ -88,6 +88,20 @@
     CHECK(received.ends_with("0\r\n\r\n"));
 }
 
+TEST_CASE("a response that keeps arriving after the deadline is ended")
+{
+    // Guards against reads that never time out because bytes are always there. The parts are so small
+    // that the limit on the size of a response is not reached.
+    forwarding_fixture all({});
+    const std::string head = "HTTP/1.1 200 OK\r\nSigned: 1\r\n\r\n";
+    endless_endpoint endpoint(all.context, head, std::string(64, 'x'), milliseconds(0));
+    all.set_ports({endpoint.port()});
+    const auto started = std::chrono::steady_clock::now();
+    const auto received = all.ask("/order/x");
+    CHECK(std::chrono::steady_clock::now() - started < milliseconds(3'000));
+    CHECK_FALSE(received.ends_with("0\r\n\r\n"));
+}
+
 TEST_CASE("a stream whose events are further apart than usual is delivered whole")
 {
     // Guards against slow but sound streams that are cut although no other endpoint could take over.
