Forwarding: Log the prompt parts of requests that are placed and that crash endpoints

The logs could not tell a fault of one prompt part from one of the account, the route or the model. request_placed names the parts, endpoint_dead the request, the events it had received and its parts.

--- /dev/null
+++ b/Libraries/dispatch/src/endpoint_record.cpp
@@ -0,0 +1,23 @@
+#include "siskinwharf/dispatch/endpoint_record.h"
+
+#include <array>
+#include <charconv>
+
+namespace siskinwharf::dispatch {
+
+std::string to_string(const std::vector<prompt_part>& parts)
+{
+    constexpr int hexadecimal = 16;
+    std::string text;
+    for (const auto& part : parts) {
+        std::array<char, sizeof(part.id) * 2> digits{};
+        const auto [end, error] =
+            std::to_chars(digits.data(), digits.data() + digits.size(), part.id, hexadecimal);
+        if (!text.empty())
+            text += ',';
+        text.append(digits.data(), end);
+    }
+    return text;
+}
+
+} // namespace siskinwharf::dispatch
--- a/Libraries/forwarding/src/crash_check.cpp
+++ b/Libraries/forwarding/src/crash_check.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 asio::awaitable<void> check_for_crash(asio::any_io_executor executor, traffic_state& state,
-                                      dispatch::endpoint_record endpoint, admission::content_key content)
+                                      dispatch::endpoint_record endpoint, broken_request request)
 {
     constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
     asio::steady_timer timer(executor, check_delay);
@@ -36,8 +36,13 @@
     if (error != asio::error::connection_refused)
         co_return;
     const auto crash = combine64(hash64(endpoint.id.value()), endpoint.started_ms);
+    const auto& content = request.content;
     const auto status = state.quarantine().on_crash(content, crash, std::chrono::steady_clock::now());
-    log_event(event::endpoint_dead, {{"endpoint", endpoint.id.value()}, {"digest", content.digest}});
+    log_event(event::endpoint_dead, {{"endpoint", endpoint.id.value()},
+                                     {"request", request.id.value()},
+                                     {"digest", content.digest},
+                                     {"events", std::to_string(request.events)},
+                                     {"parts", dispatch::to_string(request.parts)}});
     if (status == admission::content_status::quarantined)
         log_event(event::request_quarantined,
                   {{"account", content.account.value()}, {"digest", content.digest}});
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -194,6 +194,7 @@
                {"tokens_ahead", std::to_string(ticket.tokens_ahead)},
                {"expected_ms", std::to_string(chosen.expected.count())},
                {"candidates", std::to_string(chosen.candidates)},
+               {"parts", dispatch::to_string(m_call.work.parts)},
                {"attempt", std::to_string(m_tried_endpoints.size())}});
     const auto end = co_await send(endpoint, ticket, chosen.expected);
     log_event(
@@ -356,7 +357,9 @@
 
 void forwarded_request::start_crash_check(const dispatch::endpoint_record& endpoint)
 {
-    asio::co_spawn(m_executor, check_for_crash(m_executor, m_state, endpoint, content()), asio::detached);
+    broken_request request{m_call.id, content(), m_call.work.parts, m_events.events()};
+    asio::co_spawn(m_executor, check_for_crash(m_executor, m_state, endpoint, std::move(request)),
+                   asio::detached);
 }
 
 void forwarded_request::count_run()
