Forwarding: Refuse requests with a prompt part that crashes endpoints

Cause: the quarantine recognised a request by its account and the digest of its whole content. Requests that share only the cause of the crash are all different, so none reached two crashes. Class of fault: evidence is kept under a key that is narrower than the cause. The same cause elsewhere: a request that became quarantined between two of its attempts was still sent once more; both quarantines are now asked before each attempt.

Change: admission::part_quarantine counts, for each shared part of a prompt, the crashes of endpoints at which a request with it had no event yet, once for each request. An answer in full clears a part; crashes within 300 ms count once, so that the loss of many endpoints blames nobody; a part beside a quarantined one is not blamed for its crashes. Processes tell each other their records in a datagram of their own.

--- a/Libraries/base/include/siskinwharf/base/event.h
+++ b/Libraries/base/include/siskinwharf/base/event.h
@@ -54,11 +54,16 @@
                                             "The table did not say whether a claim took effect."};
 inline constexpr event_kind quarantine_learned{208, event_level::warning, "quarantine_learned",
                                                "A peer reported crashes of a request, which is refused now."};
+inline constexpr event_kind part_quarantined{
+    209, event_level::warning, "part_quarantined",
+    "Requests with one prompt part crashed endpoints and are refused from now on."};
 inline constexpr event_kind claim_committer_avoided{
     210, event_level::warning, "claim_committer_avoided",
     "The committer of the failure domain's claims failed; this process commits its own for a time."};
 inline constexpr event_kind quota_exceeded{211, event_level::info, "quota_exceeded",
                                            "The quota of a client account had no room for a request."};
+inline constexpr event_kind part_released{212, event_level::info, "part_released",
+                                          "A quarantined prompt part was in a request that was answered."};
 inline constexpr event_kind request_placed{220, event_level::info, "request_placed",
                                            "An endpoint was chosen for an attempt of a forwarded request."};
 inline constexpr event_kind attempt_ended{221, event_level::info, "attempt_ended",
@@ -141,8 +146,10 @@
     request_quarantined,
     claim_uncertain,
     quarantine_learned,
+    part_quarantined,
     claim_committer_avoided,
     quota_exceeded,
+    part_released,
     request_placed,
     attempt_ended,
     attempt_broken,
--- a/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_record.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_record.h
@@ -38,6 +38,9 @@
 /// Ids of the parts in order, in hexadecimal digits and separated by commas, for log lines.
 [[nodiscard]] std::string to_string(const std::vector<prompt_part>& parts);
 
+/// Ids of all parts except the last, which no other request has.
+[[nodiscard]] std::vector<std::uint64_t> shared_part_ids(const std::vector<prompt_part>& parts);
+
 /// Resources that a request needs at an endpoint.
 struct workload {
     std::uint64_t prompt_tokens = 0; ///< 0 at a service without model engines.
--- a/Libraries/dispatch/src/endpoint_record.cpp
+++ b/Libraries/dispatch/src/endpoint_record.cpp
@@ -20,4 +20,12 @@
     return text;
 }
 
+std::vector<std::uint64_t> shared_part_ids(const std::vector<prompt_part>& parts)
+{
+    std::vector<std::uint64_t> ids;
+    for (std::size_t index = 0; index + 1 < parts.size(); ++index)
+        ids.push_back(parts[index].id);
+    return ids;
+}
+
 } // namespace siskinwharf::dispatch
--- a/Libraries/exchange/exchange.thrift
+++ b/Libraries/exchange/exchange.thrift
@@ -81,6 +81,21 @@
   408: i64 lease_age_ms
 }
 
+struct part_crashes {
+  1: i64 part
+  2: i32 position
+  3: list<i64> crashes
+  4: list<i64> ages_ms
+  5: i64 answered_age_ms = -1
+}
+
+// Prompt parts whose requests crashed endpoints, as known to the sender from all processes.
+struct part_crash_update {
+  501: string process
+  502: i64 start
+  503: list<part_crashes> parts
+}
+
 struct process_state {
   1: string process
   2: i64 start
--- a/Libraries/exchange/tests/process_state_test.cpp
+++ b/Libraries/exchange/tests/process_state_test.cpp
@@ -148,4 +148,19 @@
         CHECK_THROWS_AS(decode(std::string_view(datagram).substr(0, size)), exchange_error);
 }
 
+TEST_CASE("records of crashes by prompt parts survive encoding and fit into a packet")
+{
+    part_crash_update update{instance_id("frontend-kingston-a-1"), 0xFFFF'FFFF'FFFF'FFFFULL, {}};
+    for (std::uint64_t part = 0; part < maximum_part_records_per_message; ++part) {
+        admission::part_crash_record record{0xFFFF'FFFF'FFFF'FF00ULL + part, 3, {}, milliseconds(600'000)};
+        for (std::uint64_t crash = 0; crash < 8; ++crash)
+            record.crashes.push_back({0xFFFF'FFFF'FFFF'0000ULL + crash, milliseconds(600'000)});
+        update.parts.push_back(record);
+    }
+    update.parts.back().answered_age.reset();
+    const auto datagram = encode(update);
+    CHECK(datagram.size() <= packet_size);
+    CHECK(std::get<part_crash_update>(decode(datagram)) == update);
+}
+
 } // namespace siskinwharf::exchange
--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 
+#include "siskinwharf/admission/part_quarantine.h"
 #include "siskinwharf/admission/quarantine.h"
 #include "siskinwharf/deployment/snapshot.h"
 #include "siskinwharf/dispatch/load_balancer.h"
@@ -41,6 +42,7 @@
     [[nodiscard]] dispatch::load_balancer& balancer() { return m_balancer; }
     [[nodiscard]] const dispatch::load_balancer& balancer() const { return m_balancer; }
     [[nodiscard]] admission::quarantine& quarantine() { return m_quarantine; }
+    [[nodiscard]] const admission::part_quarantine& parts() const { return m_parts; }
     [[nodiscard]] usage::usage_ledger& ledger() { return m_ledger; }
     [[nodiscard]] const quota_table& quotas() const { return m_quotas; }
     [[nodiscard]] const usage::synchronized_clock& clock() const { return m_clock; }
@@ -62,6 +64,13 @@
     /// Counts a request that an endpoint started to run towards the usage of the client account.
     void count_run(const account_id& account, monotonic_time now);
 
+    /// Records that an endpoint crashed before a request had an event, or that a request was answered in
+    /// full. `shared` are the parts of its prompt that other requests may have too.
+    void count_part_crash(const std::vector<admission::prompt_part_id>& shared, admission::crash_id crash,
+                          monotonic_time now);
+    void count_part_answer(const std::vector<admission::prompt_part_id>& shared, monotonic_time now);
+    void merge_part_crashes(const std::vector<admission::part_crash_record>& records, monotonic_time now);
+
     /// Fills in the fields of this process's state message that come from this object.
     void fill_message(exchange::process_state& state, monotonic_time now) const;
     /// Returns the usage counts of this process that are sent to peers.
@@ -91,6 +100,7 @@
     usage::usage_ledger m_ledger;
     usage::synchronized_clock m_clock;
     admission::quarantine m_quarantine{admission::quarantine_limits{}};
+    admission::part_quarantine m_parts{admission::part_quarantine_limits{}};
     std::size_t m_processes = 1;
 };
 
--- a/Libraries/forwarding/src/crash_check.cpp
+++ b/Libraries/forwarding/src/crash_check.cpp
@@ -37,12 +37,15 @@
         co_return;
     const auto crash = combine64(hash64(endpoint.id.value()), endpoint.started_ms);
     const auto& content = request.content;
-    const auto status = state.quarantine().on_crash(content, crash, std::chrono::steady_clock::now());
+    const auto now = std::chrono::steady_clock::now();
+    const auto status = state.quarantine().on_crash(content, crash, now);
     log_event(event::endpoint_dead, {{"endpoint", endpoint.id.value()},
                                      {"request", request.id.value()},
                                      {"digest", content.digest},
                                      {"events", std::to_string(request.events)},
                                      {"parts", dispatch::to_string(request.parts)}});
+    if (request.events == 0 && request.is_first_crash)
+        state.count_part_crash(dispatch::shared_part_ids(request.parts), crash, now);
     if (status == admission::content_status::quarantined)
         log_event(event::request_quarantined,
                   {{"account", content.account.value()}, {"digest", content.digest}});
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -103,9 +103,8 @@
         return http::refusal{refusal_type::no_endpoint, "the service is not known", outcome::not_run,
                              retry_after_not_ready};
     const auto now = std::chrono::steady_clock::now();
-    if (!m_state.quarantine().is_empty() &&
-        m_state.quarantine().status(content(), now) == admission::content_status::quarantined)
-        return http::refusal{refusal_type::no_endpoint, "the request crashed endpoints", outcome::not_run};
+    if (auto reason = check_quarantine(now))
+        return reason;
     const auto rank = m_account != nullptr && m_account->rank ? *m_account->rank : m_route->rank;
     m_call.work.urgency = m_snapshot->urgency(rank);
     m_state.count_request(m_service->id, now);
@@ -122,6 +121,19 @@
     return std::nullopt;
 }
 
+std::optional<http::refusal> forwarded_request::check_quarantine(monotonic_time now) const
+{
+    if (!m_state.quarantine().is_empty() &&
+        m_state.quarantine().status(content(), now) == admission::content_status::quarantined)
+        return http::refusal{http::refusal_type::no_endpoint, "the request crashed endpoints",
+                             outcome::not_run};
+    if (const auto part = m_state.parts().find(dispatch::shared_part_ids(m_call.work.parts)))
+        return http::refusal{http::refusal_type::no_endpoint,
+                             "part " + dispatch::to_string({{*part, 0}}) + " of the prompt crashed endpoints",
+                             outcome::not_run};
+    return std::nullopt;
+}
+
 void forwarded_request::log_quota_exceeded(double amount, monotonic_time now) const
 {
     const auto balance = m_state.quotas().balance(m_account->id, now);
@@ -163,20 +175,24 @@
 asio::awaitable<std::optional<attempt_end>> forwarded_request::attempt()
 {
     const auto now = std::chrono::steady_clock::now();
+    // Between two attempts, peers may have told that the request must not run.
+    std::optional<http::refusal> quarantined;
+    if (!m_tried_endpoints.empty())
+        quarantined = check_quarantine(now);
+    if (quarantined) {
+        co_await refuse_attempt(std::move(*quarantined));
+        co_return std::nullopt;
+    }
     const auto decision =
         m_state.balancer().place(*m_service, m_call.work, m_tried_endpoints, response_start_budget(), now);
     if (const auto* refused = std::get_if<dispatch::placement_refusal>(&decision)) {
-        if (m_may_have_run || m_writer.started()) {
-            co_await answer_failure(attempt_end::failed);
-            co_return std::nullopt;
-        }
         m_state.count_prompt_tokens(m_service->id, m_call.work.prompt_tokens, now);
         const auto type = refused->reason == dispatch::refusal_reason::overloaded
                               ? http::refusal_type::deadline_unreachable
                               : http::refusal_type::no_endpoint;
         http::refusal reason{type, std::string(to_string(refused->reason)), outcome::not_run,
                              refused->retry_after};
-        co_await refuse(std::move(reason));
+        co_await refuse_attempt(std::move(reason));
         co_return std::nullopt;
     }
     const auto& chosen = std::get<dispatch::placement>(decision);
@@ -323,6 +339,15 @@
     co_await refuse(std::move(reason));
 }
 
+asio::awaitable<void> forwarded_request::refuse_attempt(http::refusal reason)
+{
+    // Only a request that has not run may be refused as such.
+    if (m_may_have_run || m_writer.started())
+        co_await answer_failure(attempt_end::failed);
+    else
+        co_await refuse(std::move(reason));
+}
+
 asio::awaitable<void> forwarded_request::refuse(http::refusal reason)
 {
     if (reason.result == outcome::not_run && m_account != nullptr && m_quota_taken > 0)
@@ -357,7 +382,8 @@
 
 void forwarded_request::start_crash_check(const dispatch::endpoint_record& endpoint)
 {
-    broken_request request{m_call.id, content(), m_call.work.parts, m_events.events()};
+    broken_request request{m_call.id, content(), m_call.work.parts, m_events.events(),
+                           !std::exchange(m_has_crash_check, true)};
     asio::co_spawn(m_executor, check_for_crash(m_executor, m_state, endpoint, std::move(request)),
                    asio::detached);
 }
@@ -368,6 +394,11 @@
         m_state.count_run(m_account->id, std::chrono::steady_clock::now());
 }
 
+void forwarded_request::count_answer()
+{
+    m_state.count_part_answer(dispatch::shared_part_ids(m_call.work.parts), std::chrono::steady_clock::now());
+}
+
 std::optional<milliseconds> forwarded_request::time_left() const
 {
     auto limit = milliseconds::max();
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -52,6 +52,8 @@
     /// refused.
     [[nodiscard]] std::optional<http::refusal> admit();
     [[nodiscard]] std::optional<http::refusal> authorize();
+    /// Returns the reason if the request must not run because it, or others like it, crashed endpoints.
+    [[nodiscard]] std::optional<http::refusal> check_quarantine(monotonic_time now) const;
     void log_quota_exceeded(double amount, monotonic_time now) const;
     boost::asio::awaitable<void> serve();
     /// Selects an endpoint and forwards the request once. Returns nothing if the caller has been answered
@@ -77,9 +79,13 @@
     /// Whether another attempt may follow a failed one. Takes a retry from the budget where one is needed.
     [[nodiscard]] bool may_retry(attempt_end end);
     boost::asio::awaitable<void> refuse(http::refusal reason);
+    /// Refuses the request, or reports a failure if it may have run.
+    boost::asio::awaitable<void> refuse_attempt(http::refusal reason);
     boost::asio::awaitable<void> answer_failure(attempt_end end);
     void start_crash_check(const dispatch::endpoint_record& endpoint);
     void count_run();
+    /// Records that an endpoint answered the request in full.
+    void count_answer();
 
     [[nodiscard]] bool is_repeatable() const;
     /// Whether another attempt may follow the present one.
@@ -111,6 +117,7 @@
     bool m_may_have_run = false;
     bool m_has_reserved_retry = false; ///< A retry has already been taken from the budget.
     bool m_is_run_counted = false;
+    bool m_has_crash_check = false; ///< An endpoint that ran the request has been checked for a crash.
     bool m_is_caller_gone = false;
     /// Error response of an endpoint, which is sent if no retry succeeds.
     std::optional<http::response> m_failure_answer;
--- a/Libraries/forwarding/src/forwarded_request_relay.cpp
+++ b/Libraries/forwarding/src/forwarded_request_relay.cpp
@@ -57,6 +57,8 @@
     const auto end = co_await read_body(answer, whole);
     m_state.balancer().first_event(ticket, std::chrono::steady_clock::now());
     count_run();
+    if (is_success(whole.status))
+        count_answer();
     if (end == body_end::passed_on)
         co_return attempt_end::delivered;
     const bool can_repeat =
@@ -144,6 +146,8 @@
     }
     if (m_events.has_partial_event())
         throw http::call_error(http::call_stage::after_header, "the stream ended within an event");
+    if (m_events.events() > 0)
+        count_answer();
     if (!m_writer.started())
         co_await m_writer.begin(answer.status(), m_codec.forwarded(answer.headers()));
     co_await m_writer.finish();
--- a/Libraries/forwarding/src/peer_exchange.cpp
+++ b/Libraries/forwarding/src/peer_exchange.cpp
@@ -248,6 +248,10 @@
         own.services.clear();
     }
     datagrams.push_back(exchange::encode(own));
+    auto parts = m_state.parts().records(now, exchange::maximum_part_records_per_message);
+    if (!parts.empty())
+        datagrams.push_back(
+            exchange::encode(exchange::part_crash_update{own.process, own.start, std::move(parts)}));
     return datagrams;
 }
 
@@ -416,6 +420,11 @@
     }
 }
 
+void peer_exchange::take(const exchange::part_crash_update& update, const std::string&)
+{
+    m_state.merge_part_crashes(update.parts, std::chrono::steady_clock::now());
+}
+
 void peer_exchange::take(const exchange::domain_report& report, const std::string& ip)
 {
     m_table.take(report, ip, std::chrono::steady_clock::now());
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "siskinwharf/base/event_log.h"
+
 namespace siskinwharf::forwarding {
 
 namespace {
@@ -23,6 +25,13 @@
     return result;
 }
 
+void log_part_event(const event_kind& kind, const std::vector<admission::prompt_part_id>& parts,
+                    std::string_view source)
+{
+    for (const auto part : parts)
+        log_event(kind, {{"part", dispatch::to_string({{part, 0}})}, {"source", std::string(source)}});
+}
+
 } // namespace
 
 traffic_state::traffic_state(const process_settings& settings, std::uint64_t start, usage::wall_time wall,
@@ -70,6 +79,7 @@
     m_balancer.set_peer_loads(loads);
     m_quotas.set_peers(view, now);
     m_quarantine.expire(now);
+    m_parts.expire(now);
     m_ledger.forget(current_window(now));
 }
 
@@ -123,6 +133,24 @@
     m_ledger.add(account, current_window(now));
 }
 
+void traffic_state::count_part_crash(const std::vector<admission::prompt_part_id>& shared,
+                                     admission::crash_id crash, monotonic_time now)
+{
+    log_part_event(event::part_quarantined, m_parts.on_crash(shared, crash, now), "own");
+}
+
+void traffic_state::count_part_answer(const std::vector<admission::prompt_part_id>& shared,
+                                      monotonic_time now)
+{
+    log_part_event(event::part_released, m_parts.on_answered(shared, now), "own");
+}
+
+void traffic_state::merge_part_crashes(const std::vector<admission::part_crash_record>& records,
+                                       monotonic_time now)
+{
+    log_part_event(event::part_quarantined, m_parts.merge(records, now), "peer");
+}
+
 usage::window_number traffic_state::current_window(monotonic_time now) const
 {
     return m_clock.now(now).time_since_epoch() / m_settings.bounds.usage_window;
