--- a/Libraries/forwarding/tests/request_runner_test.cpp
+++ b/Libraries/forwarding/tests/request_runner_test.cpp
@@ -105,4 +105,34 @@
     CHECK(all.runs() == 1);
 }
 
+TEST_CASE("a stream whose end is the end of its connection reaches the caller whole")
+{
+    const auto head = "HTTP/1.1 200 OK\r\nSigned: 1\r\n\r\n";
+    fixture all({{head + std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n")}});
+    const auto received = all.ask("/stream/x");
+    CHECK(contains(received, "id: 1\ndata: a\n\n"));
+    CHECK(contains(received, "id: 2\ndata: b\n\n"));
+    CHECK(received.ends_with(last_chunk));
+}
+
+TEST_CASE("a stream whose connection ends within an event does not look complete without a length or chunks")
+{
+    const auto head = "HTTP/1.1 200 OK\r\nSigned: 1\r\n\r\n";
+    const auto broken = head + std::string("id: 1\ndata: a\n\nid: 2\nda");
+    fixture cut({{broken}});
+    const auto received = cut.ask("/stream/x");
+    CHECK(contains(received, "id: 1\ndata: a\n\n"));
+    CHECK_FALSE(received.ends_with(last_chunk));
+    fixture resumed({{broken}, {stream_head + chunk("id: 2\ndata: b\n\n") + last_chunk}});
+    CHECK(contains(resumed.ask("/resumable/x"), "id: 2\ndata: b\n\n"));
+}
+
+TEST_CASE("a response without a length or chunks reaches the caller whole")
+{
+    fixture all({{"HTTP/1.1 200 OK\r\nSigned: 1\r\n\r\nwhole"}});
+    const auto received = all.ask("/read/x");
+    CHECK(has_status(received, 200));
+    CHECK(received.ends_with("whole"));
+}
+
 } // namespace siskinwharf::forwarding
