--- a/Libraries/base/include/siskinwharf/base/event.h
+++ b/Libraries/base/include/siskinwharf/base/event.h
@@ -109,6 +109,9 @@
 inline constexpr event_kind endpoint_entry_ignored{
     411, event_level::warning, "endpoint_entry_ignored",
     "An entry of the list names no endpoint that could be used."};
+inline constexpr event_kind endpoint_limited{
+    412, event_level::info, "endpoint_limited",
+    "An endpoint names the requests a second that it takes, or names none any more."};
 
 inline constexpr event_kind platform_unavailable{500, event_level::warning, "platform_unavailable",
                                                  "A platform service does not answer."};
@@ -171,6 +174,7 @@
     endpoint_version,
     endpoint_gone,
     endpoint_entry_ignored,
+    endpoint_limited,
     platform_unavailable,
     platform_available,
     lease_acquired,
--- a/Libraries/dispatch/include/siskinwharf/dispatch/load_balancer.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/load_balancer.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "siskinwharf/deployment/snapshot.h"
+#include "siskinwharf/dispatch/endpoint_limits.h"
 #include "siskinwharf/dispatch/endpoint_state.h"
 
 namespace siskinwharf::dispatch {
@@ -98,6 +99,7 @@
     /// Removes the request from the load of the endpoint and updates the failure rate and the backoff.
     void finish(attempt_ticket& ticket, attempt_result result, monotonic_time now);
 
+    [[nodiscard]] endpoint_limits& limits() { return m_limits; }
     /// Prompt tokens per millisecond that an engine of this service computes when there is little contention.
     [[nodiscard]] double prefill_speed(const service_id& service) const
     {
@@ -154,6 +156,7 @@
     /// Waiting tokens that were last published to peers; 0 if absent.
     std::map<endpoint_id, std::uint64_t> m_published_tokens;
     std::function<void()> m_on_changed_load;
+    endpoint_limits m_limits;
 };
 
 } // namespace siskinwharf::dispatch
--- a/Libraries/forwarding/include/siskinwharf/forwarding/call.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/call.h
@@ -37,6 +37,8 @@
     bool is_not_run = false;      ///< The endpoint reports that the request did not run and will not run.
     bool is_signed = false;       ///< The response was produced by the endpoint itself.
     std::optional<request_id> id; ///< Request that the response belongs to.
+    /// Requests a second that the endpoint takes from all processes together, for as long as it says so.
+    std::optional<double> requests_per_second;
 };
 
 /// Interface that maps requests and responses to the platform's header names.
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -250,7 +250,7 @@
     try {
         answer = co_await m_client.open_parts(target, std::move(message), times, m_control);
         ++m_sent_attempts;
-        end = co_await receive(*answer, ticket);
+        end = co_await receive(endpoint, *answer, ticket);
     } catch (const http::call_error& error) {
         if (error.stage() == http::call_stage::before_send)
             end = attempt_end::not_sent;
--- a/Libraries/forwarding/src/forwarded_request_relay.cpp
+++ b/Libraries/forwarding/src/forwarded_request_relay.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "forwarded_request.h"
+#include "siskinwharf/base/event_log.h"
 #include "siskinwharf/http/error.h"
 
 namespace siskinwharf::forwarding {
@@ -30,13 +31,16 @@
 
 } // namespace
 
-asio::awaitable<attempt_end> forwarded_request::receive(http::part_stream& answer,
+asio::awaitable<attempt_end> forwarded_request::receive(const dispatch::endpoint_record& endpoint,
+                                                        http::part_stream& answer,
                                                         dispatch::attempt_ticket& ticket)
 {
     const auto status = answer.status();
     const auto facts = m_codec.inspect(status, answer.headers());
     if (facts.id && *facts.id != m_call.id)
         throw http::call_error(http::call_stage::after_header, "the response belongs to another request");
+    if (facts.is_signed || facts.is_not_run)
+        observe_limit(endpoint, facts.requests_per_second);
     if (facts.is_not_run)
         co_return attempt_end::not_run;
     if (!facts.is_signed)
@@ -47,6 +51,17 @@
     co_return co_await relay_response(answer, ticket);
 }
 
+void forwarded_request::observe_limit(const dispatch::endpoint_record& endpoint,
+                                      std::optional<double> per_second)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (m_state.balancer().limits().observe(endpoint, per_second, now))
+        log_event(event::endpoint_limited,
+                  {{"endpoint", endpoint.id.value()},
+                   {"request", m_call.id.value()},
+                   {"limit_per_second", per_second ? fmt::format("{:.2f}", *per_second) : "none"}});
+}
+
 asio::awaitable<attempt_end> forwarded_request::relay_response(http::part_stream& answer,
                                                                dispatch::attempt_ticket& ticket)
 {
