--- a/Libraries/forwarding/tests/forwarding_fixture.h
+++ b/Libraries/forwarding/tests/forwarding_fixture.h
@@ -56,6 +56,8 @@
             facts.is_signed = facts.is_signed || name == "Signed";
             if (name == "Id")
                 facts.id = request_id(value);
+            if (name == "Limit")
+                facts.requests_per_second = std::stod(value);
         }
         return facts;
     }
