--- a/Libraries/exchange/include/siskinwharf/exchange/process_state.h
+++ b/Libraries/exchange/include/siskinwharf/exchange/process_state.h
@@ -6,11 +6,12 @@
 #include <variant>
 #include <vector>
 
-#include "siskinwharf/admission/part_quarantine.h"
 #include "siskinwharf/admission/quarantine.h"
 #include "siskinwharf/base/identifier.h"
-#include "siskinwharf/dispatch/endpoint_limits.h"
 #include "siskinwharf/dispatch/endpoint_record.h"
+#include "siskinwharf/exchange/endpoint_limit_update.h"
+#include "siskinwharf/exchange/packet_size.h"
+#include "siskinwharf/exchange/part_crash_update.h"
 #include "siskinwharf/usage/synchronized_clock.h"
 #include "siskinwharf/usage/usage_ledger.h"
 
@@ -125,49 +126,15 @@
     bool operator==(const deployment_report&) const = default;
 };
 
-/// Prompt parts whose requests crashed endpoints, as known to the sender from all processes. Sent with each
-/// state in a datagram of its own, so that each fits into one packet.
-struct part_crash_update {
-    instance_id process;
-    std::uint64_t start = 0;
-    std::vector<admission::part_crash_record> parts;
-
-    bool operator==(const part_crash_update&) const = default;
-};
-
-/// What endpoints said lately of the requests that they take.
-struct endpoint_limit_update {
-    instance_id process;
-    std::uint64_t start = 0;
-    std::vector<dispatch::endpoint_limit> limits; ///< Rates in steps of 0.001 a second.
-
-    bool operator==(const endpoint_limit_update&) const = default;
-};
-
 using message = std::variant<process_state, near_update, usage_update, domain_report, deployment_report,
                              part_crash_update, endpoint_limit_update>;
 
 /// Size of the receive buffer in bytes, close to the maximum of a UDP datagram over IPv4.
 inline constexpr std::size_t largest_datagram = 60'000;
 
-/// Maximum size in bytes of a datagram that is sent. A larger one would be fragmented, and lost with any
-/// fragment.
-inline constexpr std::size_t packet_size = 1'400;
-
 /// Maximum number of endpoint loads in one message, so that it fits into a packet.
 inline constexpr std::size_t maximum_loads_per_message = 36;
 
-/// Maximum number of records in a `part_crash_update`, so that it fits into a packet.
-inline constexpr std::size_t maximum_part_records_per_message = 10;
-
-/// Maximum number of limits in an `endpoint_limit_update`, so that it fits into a packet.
-inline constexpr std::size_t maximum_limits_per_message = 32;
-
-/// Splits limits into messages that each fit into a packet.
-[[nodiscard]] std::vector<endpoint_limit_update>
-endpoint_limit_updates(const instance_id& process, std::uint64_t start,
-                       const std::vector<dispatch::endpoint_limit>& limits);
-
 /// Returns at most `maximum_loads_per_message` loads: those with the most waiting tokens, then those with the
 /// most requests.
 [[nodiscard]] std::vector<dispatch::endpoint_load> select_loads(std::vector<dispatch::endpoint_load> loads);
@@ -183,8 +150,6 @@
 [[nodiscard]] std::string encode(const usage_update& update);
 [[nodiscard]] std::string encode(const domain_report& report);
 [[nodiscard]] std::string encode(const deployment_report& report);
-[[nodiscard]] std::string encode(const part_crash_update& update);
-[[nodiscard]] std::string encode(const endpoint_limit_update& update);
 /// Throws `exchange_error` if the datagram is not the output of `encode`.
 [[nodiscard]] message decode(std::string_view datagram);
 
--- a/Libraries/exchange/src/process_state.cpp
+++ b/Libraries/exchange/src/process_state.cpp
@@ -3,54 +3,13 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
-#include <memory>
-#include <optional>
 
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
-#include "exchange_types.h"
-#include "siskinwharf/exchange/exchange_error.h"
+#include "wire_conversion.h"
 
 namespace siskinwharf::exchange {
 
 namespace {
 
-using apache::thrift::transport::TMemoryBuffer;
-using protocol = apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer>;
-
-/// Maximum number of elements in a container. Generated code allocates a list before it reads the elements.
-constexpr std::int32_t container_limit = 16'384;
-constexpr double permille = 1'000;
-
-std::int64_t to_signed(std::uint64_t value)
-{
-    return static_cast<std::int64_t>(value);
-}
-
-std::uint64_t to_unsigned(std::int64_t value)
-{
-    return static_cast<std::uint64_t>(value);
-}
-
-/// Treats a negative amount, which no correct peer sends, as 0.
-std::uint64_t to_amount(std::int64_t value)
-{
-    return value < 0 ? 0 : static_cast<std::uint64_t>(value);
-}
-
-std::uint32_t to_count(std::int32_t value)
-{
-    return value < 0 ? 0 : static_cast<std::uint32_t>(value);
-}
-
-/// An age from a peer. Bounded, so that sums with it cannot overflow.
-milliseconds to_age(std::int64_t value)
-{
-    constexpr milliseconds maximum_age = std::chrono::hours(24);
-    return std::clamp(milliseconds(value), milliseconds(0), maximum_age);
-}
-
 std::vector<wire::endpoint_load> to_wire(const std::vector<dispatch::endpoint_load>& loads)
 {
     std::vector<wire::endpoint_load> result;
@@ -272,65 +231,6 @@
     return result;
 }
 
-part_crash_update from_wire(const wire::part_crash_update& value)
-{
-    part_crash_update result{instance_id(value.process), to_unsigned(value.start), {}};
-    for (const auto& entry : value.parts) {
-        auto& record = result.parts.emplace_back();
-        record.part = to_unsigned(entry.part);
-        record.position = to_count(entry.position);
-        const auto crashes = std::min(entry.crashes.size(), entry.ages_ms.size());
-        for (std::size_t index = 0; index < crashes; ++index)
-            record.crashes.push_back({to_unsigned(entry.crashes[index]), to_age(entry.ages_ms[index])});
-        if (entry.answered_age_ms >= 0)
-            record.answered_age = to_age(entry.answered_age_ms);
-    }
-    return result;
-}
-
-endpoint_limit_update from_wire(const wire::endpoint_limit_update& value)
-{
-    endpoint_limit_update result{instance_id(value.process), to_unsigned(value.start), {}};
-    for (const auto& entry : value.limits) {
-        auto& limit = result.limits.emplace_back();
-        limit.endpoint = endpoint_id(entry.endpoint);
-        limit.started_ms = to_unsigned(entry.started_ms);
-        if (entry.per_thousand_seconds >= 0)
-            limit.per_second = static_cast<double>(entry.per_thousand_seconds) / permille;
-        limit.age = to_age(entry.age_ms);
-    }
-    return result;
-}
-
-template<typename Wire>
-std::string write(const Wire& value)
-{
-    const auto buffer = std::make_shared<TMemoryBuffer>();
-    protocol encoder(buffer);
-    value.write(&encoder);
-    return buffer->getBufferAsString();
-}
-
-/// Returns nothing if the datagram contains another type of message.
-template<typename Wire>
-std::optional<Wire> read(std::string_view datagram)
-{
-    // OBSERVE never writes to the buffer; the interface is only missing the const.
-    auto* bytes = const_cast<std::uint8_t*>(reinterpret_cast<const std::uint8_t*>(datagram.data()));
-    const auto size = static_cast<std::uint32_t>(datagram.size());
-    const auto buffer = std::make_shared<TMemoryBuffer>(bytes, size, TMemoryBuffer::OBSERVE);
-    protocol input(buffer, static_cast<std::int32_t>(size), container_limit);
-    Wire parsed;
-    try {
-        parsed.read(&input);
-    } catch (const apache::thrift::TException& error) {
-        throw exchange_error(error.what());
-    }
-    if (buffer->available_read() != 0 || parsed.process.empty())
-        return std::nullopt;
-    return parsed;
-}
-
 } // namespace
 
 std::string encode(const process_state& state)
@@ -376,56 +276,6 @@
     return write(result);
 }
 
-std::string encode(const part_crash_update& update)
-{
-    wire::part_crash_update result;
-    result.process = update.process.value();
-    result.start = to_signed(update.start);
-    for (const auto& record : update.parts) {
-        auto& entry = result.parts.emplace_back();
-        entry.part = to_signed(record.part);
-        entry.position = static_cast<std::int32_t>(record.position);
-        for (const auto& [crash, age] : record.crashes) {
-            entry.crashes.push_back(to_signed(crash));
-            entry.ages_ms.push_back(age.count());
-        }
-        if (record.answered_age)
-            entry.answered_age_ms = record.answered_age->count();
-    }
-    return write(result);
-}
-
-std::string encode(const endpoint_limit_update& update)
-{
-    /// Larger rates limit nothing. Bounds the conversion to an integer.
-    constexpr double maximum_per_second = 1e9;
-    wire::endpoint_limit_update result;
-    result.process = update.process.value();
-    result.start = to_signed(update.start);
-    for (const auto& limit : update.limits) {
-        auto& entry = result.limits.emplace_back();
-        entry.endpoint = limit.endpoint.value();
-        entry.started_ms = to_signed(limit.started_ms);
-        if (limit.per_second)
-            entry.per_thousand_seconds =
-                std::llround(std::min(*limit.per_second, maximum_per_second) * permille);
-        entry.age_ms = limit.age.count();
-    }
-    return write(result);
-}
-
-std::vector<endpoint_limit_update> endpoint_limit_updates(const instance_id& process, std::uint64_t start,
-                                                          const std::vector<dispatch::endpoint_limit>& limits)
-{
-    std::vector<endpoint_limit_update> result;
-    for (const auto& limit : limits) {
-        if (result.empty() || result.back().limits.size() == maximum_limits_per_message)
-            result.push_back({process, start, {}});
-        result.back().limits.push_back(limit);
-    }
-    return result;
-}
-
 std::vector<dispatch::endpoint_load> select_loads(std::vector<dispatch::endpoint_load> loads)
 {
     if (loads.size() <= maximum_loads_per_message)
