Exchange: Send records of crashing requests in messages that fit into a packet

A state message carried up to 32 records: 3,868 bytes with the loads and accounts of a usual process, where a packet takes 1,400, so that all of the state is lost with any fragment just when endpoints crash.

Records travel in quarantine_update now, ten to a datagram, beside each state. Field 15 of process_state is no longer sent or read; processes of the versions before and after do not tell each other of crashing requests.

--- a/Libraries/exchange/exchange.thrift
+++ b/Libraries/exchange/exchange.thrift
@@ -81,6 +81,13 @@
   408: i64 lease_age_ms
 }
 
+// Contents of requests that crashed endpoints, as known to the sender from all processes.
+struct quarantine_update {
+  701: string process
+  702: i64 start
+  703: list<crash_record> crashes
+}
+
 struct part_crashes {
   1: i64 part
   2: i32 position
@@ -125,6 +132,6 @@
   12: list<account_use> accounts
   13: list<window_usage> usage
   14: list<service_demand> services
-  15: list<crash_record> crashes
+  15: list<crash_record> crashes // No longer sent: quarantine_update.
   16: i64 uptime_ms
 }
--- a/Libraries/exchange/include/siskinwharf/exchange/process_state.h
+++ b/Libraries/exchange/include/siskinwharf/exchange/process_state.h
@@ -6,12 +6,12 @@
 #include <variant>
 #include <vector>
 
-#include "siskinwharf/admission/quarantine.h"
 #include "siskinwharf/base/identifier.h"
 #include "siskinwharf/dispatch/endpoint_record.h"
 #include "siskinwharf/exchange/endpoint_limit_update.h"
 #include "siskinwharf/exchange/packet_size.h"
 #include "siskinwharf/exchange/part_crash_update.h"
+#include "siskinwharf/exchange/quarantine_update.h"
 #include "siskinwharf/usage/synchronized_clock.h"
 #include "siskinwharf/usage/usage_ledger.h"
 
@@ -54,7 +54,6 @@
     std::vector<dispatch::endpoint_load> loads;
     std::vector<account_use> accounts;
     std::vector<service_demand> services;
-    std::vector<admission::quarantine_record> crashes;
 
     bool operator==(const process_state&) const = default;
 };
@@ -127,7 +126,7 @@
 };
 
 using message = std::variant<process_state, near_update, usage_update, domain_report, deployment_report,
-                             part_crash_update, endpoint_limit_update>;
+                             part_crash_update, endpoint_limit_update, quarantine_update>;
 
 /// Size of the receive buffer in bytes, close to the maximum of a UDP datagram over IPv4.
 inline constexpr std::size_t largest_datagram = 60'000;
--- a/Libraries/exchange/src/endpoint_limit_update.cpp
+++ b/Libraries/exchange/src/endpoint_limit_update.cpp
@@ -42,13 +42,7 @@
 std::vector<endpoint_limit_update> endpoint_limit_updates(const instance_id& process, std::uint64_t start,
                                                           const std::vector<dispatch::endpoint_limit>& limits)
 {
-    std::vector<endpoint_limit_update> result;
-    for (const auto& limit : limits) {
-        if (result.empty() || result.back().limits.size() == maximum_limits_per_message)
-            result.push_back({process, start, {}});
-        result.back().limits.push_back(limit);
-    }
-    return result;
+    return split_into_messages<endpoint_limit_update>(process, start, limits, maximum_limits_per_message);
 }
 
 } // namespace siskinwharf::exchange
--- a/Libraries/exchange/src/process_state.cpp
+++ b/Libraries/exchange/src/process_state.cpp
@@ -96,14 +96,6 @@
     result.loads = to_wire(value.loads);
     result.accounts = to_wire(value.accounts);
     result.services = to_wire(value.services);
-    for (const auto& record : value.crashes) {
-        auto& entry = result.crashes.emplace_back();
-        entry.account = record.key.account.value();
-        entry.digest = record.key.digest;
-        for (const auto crash : record.crashes)
-            entry.crashes.push_back(to_signed(crash));
-        entry.remaining_ms = record.remaining.count();
-    }
     return result;
 }
 
@@ -124,13 +116,6 @@
     result.loads = from_wire(value.loads);
     result.accounts = from_wire(value.accounts);
     result.services = from_wire(value.services);
-    for (const auto& record : value.crashes) {
-        admission::quarantine_record entry{
-            {account_id(record.account), record.digest}, {}, milliseconds(record.remaining_ms)};
-        for (const auto crash : record.crashes)
-            entry.crashes.insert(to_unsigned(crash));
-        result.crashes.push_back(std::move(entry));
-    }
     return result;
 }
 
@@ -328,6 +313,8 @@
         return from_wire(*update);
     if (const auto update = read<wire::endpoint_limit_update>(datagram))
         return from_wire(*update);
+    if (const auto update = read<wire::quarantine_update>(datagram))
+        return from_wire(*update);
     throw exchange_error("not a message of a forwarding process");
 }
 
--- a/Libraries/exchange/src/wire_conversion.h
+++ b/Libraries/exchange/src/wire_conversion.h
@@ -3,11 +3,13 @@
 // Conversions between the messages and the generated types, for the files that encode and decode them.
 
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -17,6 +19,7 @@
 #include "siskinwharf/exchange/endpoint_limit_update.h"
 #include "siskinwharf/exchange/exchange_error.h"
 #include "siskinwharf/exchange/part_crash_update.h"
+#include "siskinwharf/exchange/quarantine_update.h"
 
 namespace siskinwharf::exchange {
 
@@ -57,6 +60,21 @@
 
 [[nodiscard]] part_crash_update from_wire(const wire::part_crash_update& value);
 [[nodiscard]] endpoint_limit_update from_wire(const wire::endpoint_limit_update& value);
+[[nodiscard]] quarantine_update from_wire(const wire::quarantine_update& value);
+
+/// Divides the items of one sender among messages with at most `maximum` items.
+template<typename Message, typename Item>
+std::vector<Message> split_into_messages(const instance_id& process, std::uint64_t start,
+                                         const std::vector<Item>& items, std::size_t maximum)
+{
+    std::vector<Message> result;
+    for (std::size_t from = 0; from < items.size(); from += maximum) {
+        const auto begin = items.begin() + static_cast<std::ptrdiff_t>(from);
+        const auto size = std::min(maximum, items.size() - from);
+        result.push_back({process, start, {begin, begin + static_cast<std::ptrdiff_t>(size)}});
+    }
+    return result;
+}
 
 template<typename Wire>
 std::string write(const Wire& value)
--- a/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
@@ -81,6 +81,7 @@
     void take(const exchange::usage_update& update, const std::string& ip);
     void take(const exchange::domain_report& report, const std::string& ip);
     void take(const exchange::deployment_report& report, const std::string& ip);
+    void take(const exchange::quarantine_update& update, const std::string& ip);
     void take(const exchange::part_crash_update& update, const std::string& ip);
     void take(const exchange::endpoint_limit_update& update, const std::string& ip);
     void send_slice(monotonic_time now);
--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -28,7 +28,7 @@
     /// Activates a configuration. Returns false if its version is not newer than the active one.
     bool set_configuration(deployment::snapshot_content content, monotonic_time now);
     void set_endpoints(const std::vector<dispatch::endpoint_record>& endpoints);
-    /// Merges the clock reading and the crash records of a peer's message.
+    /// Merges the clock reading of a peer's message.
     void merge_peer_state(const exchange::process_state& state, monotonic_time now);
     /// Recomputes endpoint loads, quotas and the process count from the current peers, and expires old
     /// records.
@@ -78,6 +78,8 @@
 
     /// Fills in the fields of this process's state message that come from this object.
     void fill_message(exchange::process_state& state, monotonic_time now) const;
+    /// Returns the records of crashing requests that are sent to peers.
+    [[nodiscard]] std::vector<admission::quarantine_record> crashes_to_share(monotonic_time now) const;
     /// Returns the usage counts of this process that are sent to peers.
     [[nodiscard]] std::vector<usage::usage_entry> usage_to_share(monotonic_time now) const;
     /// Returns the sums of the usage counts of the processes of this failure domain, which a relay sends.
--- a/Libraries/forwarding/src/peer_exchange.cpp
+++ b/Libraries/forwarding/src/peer_exchange.cpp
@@ -248,6 +248,9 @@
         own.services.clear();
     }
     datagrams.push_back(exchange::encode(own));
+    for (const auto& update :
+         exchange::quarantine_updates(own.process, own.start, m_state.crashes_to_share(now)))
+        datagrams.push_back(exchange::encode(update));
     auto parts = m_state.parts().records(now, exchange::maximum_part_records_per_message);
     if (!parts.empty())
         datagrams.push_back(
@@ -423,6 +426,11 @@
     }
 }
 
+void peer_exchange::take(const exchange::quarantine_update& update, const std::string&)
+{
+    m_state.quarantine().merge(update.crashes, std::chrono::steady_clock::now());
+}
+
 void peer_exchange::take(const exchange::part_crash_update& update, const std::string&)
 {
     m_state.merge_part_crashes(update.parts, std::chrono::steady_clock::now());
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -16,8 +16,8 @@
 constexpr usage::window_number shared_usage_windows = 4;
 /// Period over which the demand of callers is averaged.
 constexpr milliseconds demand_window{6'000};
-/// Maximum number of crash records in one message.
-constexpr std::size_t maximum_crashes_per_message = 32;
+/// Maximum number of crash records that are sent with each state.
+constexpr std::size_t maximum_crashes_to_share = 32;
 
 dispatch::load_balancer_settings balancer_settings_of(const process_settings& settings)
 {
@@ -87,7 +87,6 @@
 void traffic_state::merge_peer_state(const exchange::process_state& state, monotonic_time now)
 {
     m_clock.observe(state.process, state.wall, now);
-    m_quarantine.merge(state.crashes, now);
 }
 
 void traffic_state::set_peers(const deployment_view& view, monotonic_time now)
@@ -215,7 +214,11 @@
     state.loads = exchange::select_loads(m_balancer.own_loads());
     state.accounts = m_quotas.own_use(now);
     state.services = demands(now);
-    state.crashes = m_quarantine.records(now, maximum_crashes_per_message);
+}
+
+std::vector<admission::quarantine_record> traffic_state::crashes_to_share(monotonic_time now) const
+{
+    return m_quarantine.records(now, maximum_crashes_to_share);
 }
 
 std::vector<usage::usage_entry> traffic_state::usage_to_share(monotonic_time now) const
