Forwarding: Tell peers of crashes while they are new, and now and then

Records of crashes are kept for ten minutes and went with each state: a process of a large deployment sends about 48 messages a second, with up to five datagrams of records each, far above the 10 KB a second that control may take. They go with each message for 5 s after this process learned something new, with one in 64 otherwise, and at once to a process that has just started.

--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "siskinwharf/admission/part_quarantine.h"
 #include "siskinwharf/admission/quarantine.h"
@@ -64,6 +65,11 @@
     /// Counts a request that an endpoint started to run towards the usage of the client account.
     void count_run(const account_id& account, monotonic_time now);
 
+    /// Records that an endpoint crashed while it ran a request. Returns the status of the request.
+    admission::content_status count_crash(const admission::content_key& content, admission::crash_id crash,
+                                          monotonic_time now);
+    /// Whether this process has learned something of crashes lately that its peers may not know.
+    [[nodiscard]] bool has_crash_news(monotonic_time now) const;
     /// Records that an endpoint crashed before a request had an event, or that a request was answered in
     /// full. `shared` are the parts of its prompt that other requests may have too.
     void count_part_crash(const std::vector<admission::prompt_part_id>& shared, admission::crash_id crash,
@@ -108,6 +114,7 @@
     usage::synchronized_clock m_clock;
     admission::quarantine m_quarantine{admission::quarantine_limits{}};
     admission::part_quarantine m_parts{admission::part_quarantine_limits{}};
+    std::optional<monotonic_time> m_crash_news; ///< When this process last learned something of crashes.
     std::size_t m_processes = 1;
 };
 
--- a/Libraries/forwarding/src/crash_check.cpp
+++ b/Libraries/forwarding/src/crash_check.cpp
@@ -38,7 +38,7 @@
     const auto crash = combine64(hash64(endpoint.id.value()), endpoint.started_ms);
     const auto& content = request.content;
     const auto now = std::chrono::steady_clock::now();
-    const auto status = state.quarantine().on_crash(content, crash, now);
+    const auto status = state.count_crash(content, crash, now);
     log_event(event::endpoint_dead, {{"endpoint", endpoint.id.value()},
                                      {"request", request.id.value()},
                                      {"digest", content.digest},
--- a/Libraries/forwarding/src/peer_exchange.cpp
+++ b/Libraries/forwarding/src/peer_exchange.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "endpoint_reports.h"
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/exchange/exchange_error.h"
 
@@ -248,16 +249,8 @@
         own.services.clear();
     }
     datagrams.push_back(exchange::encode(own));
-    for (const auto& update :
-         exchange::quarantine_updates(own.process, own.start, m_state.crashes_to_share(now)))
-        datagrams.push_back(exchange::encode(update));
-    auto parts = m_state.parts().records(now, exchange::maximum_part_records_per_message);
-    if (!parts.empty())
-        datagrams.push_back(
-            exchange::encode(exchange::part_crash_update{own.process, own.start, std::move(parts)}));
-    for (const auto& update : exchange::endpoint_limit_updates(
-             own.process, own.start, m_state.balancer().limits().announcements(now)))
-        datagrams.push_back(exchange::encode(update));
+    for (auto& report : encode_reports(m_state, own.process, own.start, own.sequence, now))
+        datagrams.push_back(std::move(report));
     return datagrams;
 }
 
@@ -382,8 +375,11 @@
         return;
     if (is_new) {
         log_event(event::peer_alive, {{"peer", copy.process.value()}, {"address", ip}});
-        if (copy.domain == m_settings.domain)
+        if (copy.domain == m_settings.domain) {
             send(encode_state(now, detail::state), {ip, copy.port});
+            // A process that has just started knows nothing of crashes.
+            send(encode_reports(m_state, m_settings.instance, m_start, 0, now), {ip, copy.port});
+        }
     }
     m_state.merge_peer_state(copy, now);
     // The loads of a peer that has just been found count from the next refresh on.
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -16,6 +16,8 @@
 constexpr usage::window_number shared_usage_windows = 4;
 /// Period over which the demand of callers is averaged.
 constexpr milliseconds demand_window{6'000};
+/// Time for which new records of crashes go with each message: a round of messages to 200 peers.
+constexpr milliseconds crash_news_time{5'000};
 /// Maximum number of crash records that are sent with each state.
 constexpr std::size_t maximum_crashes_to_share = 32;
 
@@ -156,6 +158,18 @@
     m_ledger.add(account, current_window(now));
 }
 
+admission::content_status traffic_state::count_crash(const admission::content_key& content,
+                                                     admission::crash_id crash, monotonic_time now)
+{
+    m_crash_news = now;
+    return m_quarantine.on_crash(content, crash, now);
+}
+
+bool traffic_state::has_crash_news(monotonic_time now) const
+{
+    return m_crash_news && now - *m_crash_news < crash_news_time;
+}
+
 void traffic_state::count_part_crash(const std::vector<admission::prompt_part_id>& shared,
                                      admission::crash_id crash, monotonic_time now)
 {
@@ -165,13 +179,19 @@
 void traffic_state::count_part_answer(const std::vector<admission::prompt_part_id>& shared,
                                       monotonic_time now)
 {
-    log_part_event(event::part_released, m_parts.on_answered(shared, now), "own");
+    const auto released = m_parts.on_answered(shared, now);
+    if (!released.empty())
+        m_crash_news = now;
+    log_part_event(event::part_released, released, "own");
 }
 
 void traffic_state::merge_part_crashes(const std::vector<admission::part_crash_record>& records,
                                        monotonic_time now)
 {
-    log_part_event(event::part_quarantined, m_parts.merge(records, now), "peer");
+    const auto quarantined = m_parts.merge(records, now);
+    if (!quarantined.empty())
+        m_crash_news = now;
+    log_part_event(event::part_quarantined, quarantined, "peer");
 }
 
 void traffic_state::observe_limit(const dispatch::endpoint_record& endpoint, std::optional<double> per_second,
