Admission: Show that a started process may blame the part that two crashing parts share

Traced: a process that has seen the crashes one after another finds the first part, then counts only the others; one that learns of all at once counts five for the session and three for the part.

--- a/Libraries/admission/tests/part_quarantine_test.cpp
+++ b/Libraries/admission/tests/part_quarantine_test.cpp
@@ -123,6 +123,20 @@
     CHECK_FALSE(second.quarantine.find({session}));
 }
 
+TEST_CASE("a process that learns of all crashes at once blames the part that two crashing parts share",
+          "[!mayfail]")
+{
+    constexpr prompt_part_id second_deadly = 4;
+    process first;
+    REQUIRE(first.crash({session, deadly}, 3) == parts{deadly});
+    first.crash({session, second_deadly}, 2);
+    REQUIRE_FALSE(first.quarantine.find({session}));
+    process started;
+    started.quarantine.merge(first.quarantine.records(first.now, 16), first.now);
+    CHECK(started.quarantine.find({deadly}));
+    CHECK_FALSE(started.quarantine.find({session}));
+}
+
 TEST_CASE("malformed records of a peer are ignored")
 {
     process all;
