Http: Close no connection on which a request may be under way

Cause: the process closed connections by its own clock and on a stop, and told callers neither. The idle timer closed the socket after 15 s, whatever had arrived; callers used connections that had been idle for up to 19.9 s, so that a request crossed the close. stop_accepting cancelled connections of which half a request had been read, and the listening socket was closed with connections in its queue. A response to a request that had begun before the stop kept its connection open.

Class: one side ends what the other may still use, without having said so.

Change: each response says for how long its connection may be used (Keep-Alive), and the connection is kept a second longer than that, whatever the limits become; the end of a wait is no end if bytes have arrived; a stop closes connections only when their callers may not use them any more, takes the ones in the listen queue and lets requests of which a part has arrived complete; a request that crosses an end all the same stays unread, so that the reset tells the caller that it has not run; a body without chunks that breaks off ends with a reset, because an end would make it look whole.

--- a/Libraries/http/include/siskinwharf/http/server.h
+++ b/Libraries/http/include/siskinwharf/http/server.h
@@ -52,6 +52,9 @@
     milliseconds write_timeout{30'000};
     /// Time a connection may be idle between two requests.
     milliseconds idle_timeout{75'000};
+    /// Longest time after a response for which callers are told that they may use the connection again. They
+    /// are told less if the idle time is shorter.
+    milliseconds reuse_time{60'000};
     std::uint32_t connections = 4096;
 };
 
@@ -75,16 +78,24 @@
 
     /// Starts to accept connections.
     void start();
-    /// Changes the limits of connections from their next request on.
+    /// Changes the limits of connections from their next request on. A connection that waits for a request is
+    /// kept for the longer idle time of the old and the new limits.
     void set_limits(const server_limits& limits);
-    /// From now on each response ends its connection, while connections are still accepted.
+    /// From now on each response ends its connection, while connections are still accepted and requests
+    /// answered.
     void begin_drain();
-    /// Stops accepting and closes idle connections; requests in progress go on and are answered with
-    /// `Connection: close`. Must be called on the thread that runs the context.
+    /// Closes the connections that wait for a request although their callers were told not to use them again
+    /// after so long. A connection on which bytes have arrived is not closed.
+    void close_unused();
+    /// Takes the connections that the system has already accepted, then closes the listening socket and the
+    /// connections without a request. Requests in progress go on and are answered with `Connection: close`.
+    /// This function and the two above must be called on the thread that runs the context.
     void stop_accepting();
     [[nodiscard]] unsigned short port() const;
     /// Requests that have been read and not yet answered.
     [[nodiscard]] std::size_t active_requests() const;
+    /// Open connections, with a request or without.
+    [[nodiscard]] std::size_t open_connections() const;
 
 private:
     class implementation;
--- /dev/null
+++ b/Libraries/http/src/caller_connection.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include "siskinwharf/base/time.h"
+
+namespace siskinwharf::http {
+
+/// State of one accepted connection, shared by the coroutine that serves it and the server that may close it.
+class caller_connection {
+public:
+    explicit caller_connection(boost::beast::tcp_stream& stream) : m_stream(stream) {}
+
+    /// The connection waits for a request for at most `time`. The caller may send one for at most `use`.
+    void begin_wait(monotonic_time now, milliseconds time, milliseconds use)
+    {
+        m_is_waiting = true;
+        m_waiting_since = now;
+        m_waits_until = now + time;
+        m_usable_until = now + use;
+    }
+
+    /// Bytes of a request have arrived.
+    void end_wait() { m_is_waiting = false; }
+
+    /// Keeps a connection that waits open for at least `time` from the start of its wait.
+    void extend_wait(milliseconds time) { m_waits_until = std::max(m_waits_until, m_waiting_since + time); }
+
+    /// Ends a wait. Bytes that have arrived meanwhile are still read.
+    void stop_waiting(monotonic_time now)
+    {
+        if (!m_is_waiting)
+            return;
+        m_waits_until = now;
+        m_stream.cancel();
+    }
+
+    /// Whether the caller may still send a request.
+    [[nodiscard]] bool is_usable(monotonic_time now) const { return now < m_usable_until; }
+    [[nodiscard]] monotonic_time waiting_since() const { return m_waiting_since; }
+    [[nodiscard]] monotonic_time waits_until() const { return m_waits_until; }
+
+    /// Bytes that the system holds for this process to read.
+    [[nodiscard]] std::size_t unread_bytes() const
+    {
+        boost::system::error_code error;
+        const auto size = m_stream.socket().available(error);
+        return error ? 0 : size;
+    }
+
+private:
+    boost::beast::tcp_stream& m_stream;
+    bool m_is_waiting = false;
+    monotonic_time m_waiting_since{};
+    monotonic_time m_waits_until{};
+    monotonic_time m_usable_until{};
+};
+
+} // namespace siskinwharf::http
--- a/Libraries/http/src/connection.h
+++ b/Libraries/http/src/connection.h
@@ -27,6 +27,7 @@
 #include "siskinwharf/http/refusal.h"
 #include "siskinwharf/http/server.h"
 
+#include "caller_connection.h"
 #include "read_timer.h"
 
 namespace siskinwharf::http {
@@ -39,12 +40,24 @@
 
 inline constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
+/// What callers are told about their connections, as it is when a response header is written.
+struct connection_policy {
+    bool closes_after_response = false;
+    /// Time that a caller is told it may leave the connection idle.
+    seconds announced_idle_time{0};
+};
+
 /// Response writer on one connection, plain or TLS.
 template<typename Stream>
 class connection_writer final : public response_writer {
 public:
-    connection_writer(Stream& stream, unsigned version, bool keep_alive, milliseconds write_timeout)
-        : m_stream(stream), m_version(version), m_keep_alive(keep_alive), m_write_timeout(write_timeout)
+    connection_writer(Stream& stream, unsigned version, bool keep_alive, milliseconds write_timeout,
+                      const connection_policy& policy)
+        : m_stream(stream),
+          m_version(version),
+          m_keep_alive(keep_alive),
+          m_write_timeout(write_timeout),
+          m_policy(policy)
     {
     }
 
@@ -107,7 +120,14 @@
     void abort() override
     {
         m_keep_alive = false;
-        beast::get_lowest_layer(m_stream).close();
+        auto& lowest = beast::get_lowest_layer(m_stream);
+        // Without chunks the end of the connection ends the body, and only a reset shows that it is not
+        // whole.
+        if (m_started && !m_chunked) {
+            beast::error_code ignored;
+            lowest.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+        }
+        lowest.close();
     }
 
     void watch_disconnect(std::function<void()> handler) override
@@ -151,11 +171,17 @@
     void prepare(Message& message, int status, const std::vector<header_field>& headers)
     {
         beast::get_lowest_layer(m_stream).expires_after(m_write_timeout);
+        m_keep_alive = m_keep_alive && !m_policy.closes_after_response;
         message.version(m_version);
         message.result(static_cast<unsigned>(status));
         for (const auto& [name, value] : headers)
             message.set(name, value);
         message.keep_alive(m_keep_alive);
+        if (!m_keep_alive)
+            return;
+        message.set(beast::http::field::connection, "keep-alive");
+        message.set(beast::http::field::keep_alive,
+                    "timeout=" + std::to_string(m_policy.announced_idle_time.count()));
     }
 
     static void check(const beast::error_code& error)
@@ -170,18 +196,16 @@
     bool m_started = false;
     bool m_chunked = false;
     milliseconds m_write_timeout;
+    const connection_policy& m_policy;
     std::shared_ptr<disconnect_watch> m_watch;
 };
 
-/// The result of reading one request: the request, or the refusal to answer before closing, or neither at the
-/// end of the connection.
+/// The result of reading one request: the request, or the refusal to answer before closing.
 struct read_outcome {
     std::optional<request> message;
     std::optional<refusal> reason;
     unsigned version = 11;
     bool keep_alive = false;
-    /// Why the wait for the request's first byte ended, if it did.
-    beast::error_code wait_error;
 };
 
 /// Maps an error of the HTTP parser to the refusal that the caller gets.
@@ -211,20 +235,37 @@
 /// Converts a parsed message, splitting path and query.
 [[nodiscard]] request to_request(beast::http::request<beast::http::string_body>&& message);
 
-/// Reads one request. The idle timeout applies until its first byte, the request timeout after that.
+/// Reads the first bytes of a request into `buffer`. Returns the error that ended the connection;
+/// `operation_aborted` says that the time of the connection's wait is over and that nothing has arrived.
 template<typename Stream>
-asio::awaitable<read_outcome> read_request(Stream& stream, beast::flat_buffer& buffer,
-                                           const server_limits& limits)
+asio::awaitable<beast::error_code> wait_for_request(Stream& stream, beast::flat_buffer& buffer,
+                                                    caller_connection& connection)
 {
     auto& lowest = beast::get_lowest_layer(stream);
-    if (buffer.size() == 0) {
-        lowest.expires_after(limits.idle_timeout);
+    lowest.expires_never();
+    while (true) {
+        const auto now = std::chrono::steady_clock::now();
+        // Not the expiry of the stream: it closes the socket, whatever has arrived.
+        const read_timer timer(lowest, std::chrono::ceil<milliseconds>(connection.waits_until() - now));
         const auto [error, size] =
             co_await stream.async_read_some(buffer.prepare(first_read_bytes), use_tuple);
-        if (error)
-            co_return read_outcome{.message = {}, .reason = {}, .wait_error = error};
-        buffer.commit(size);
+        if (!error)
+            buffer.commit(size);
+        // The wait may have been extended, or a request may have arrived while it was being ended.
+        const bool goes_on =
+            error == asio::error::operation_aborted &&
+            (std::chrono::steady_clock::now() < connection.waits_until() || connection.unread_bytes() > 0);
+        if (!goes_on)
+            co_return error;
     }
+}
+
+/// Reads one request, whose first bytes may be in `buffer`.
+template<typename Stream>
+asio::awaitable<read_outcome> read_request(Stream& stream, beast::flat_buffer& buffer,
+                                           const server_limits& limits)
+{
+    auto& lowest = beast::get_lowest_layer(stream);
     lowest.expires_never();
     std::optional<read_timer> timer;
     timer.emplace(lowest, limits.request_timeout);
--- a/Libraries/http/src/server.cpp
+++ b/Libraries/http/src/server.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/ssl/ssl_stream.hpp>
 
+#include "caller_connection.h"
 #include "connection.h"
 #include "siskinwharf/base/event_log.h"
 
@@ -25,6 +26,14 @@
 /// Pause after a failed accept, so that a process without free descriptors does not spin.
 constexpr milliseconds accept_retry_delay{50};
 
+/// A connection is closed this much later than its caller was told, so that no request is under way then.
+constexpr milliseconds idle_margin{1'000};
+constexpr seconds shortest_announced_idle_time{1};
+/// Time for the first request of a connection that was accepted at the very end.
+constexpr milliseconds last_accepted_wait{250};
+/// Time for which a caller may leave a connection open that this process has closed on its side.
+constexpr milliseconds close_wait{1'000};
+
 /// Bounds on what is read and thrown away after a refusal.
 constexpr milliseconds discard_time{2'000};
 constexpr std::size_t discard_bytes = 16U << 20U;
@@ -91,6 +100,7 @@
           m_handler(std::move(handler)),
           m_tls(make_tls_context(tls))
     {
+        m_policy.announced_idle_time = announced_idle_time(limits);
     }
 
     void start()
@@ -102,47 +112,85 @@
     void stop_accepting()
     {
         m_stopping = true;
+        begin_drain();
+        accept_waiting();
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
-        for (auto* idle : m_idle)
-            idle->cancel();
+        const auto now = std::chrono::steady_clock::now();
+        for (auto* connection : m_open)
+            connection->stop_waiting(now);
     }
 
-    void set_limits(const server_limits& limits) { m_limits = limits; }
-    void begin_drain() { m_draining = true; }
+    void close_unused()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        for (auto* connection : m_open) {
+            if (!connection->is_usable(now))
+                connection->stop_waiting(now);
+        }
+    }
+
+    void set_limits(const server_limits& limits)
+    {
+        m_limits = limits;
+        m_policy.announced_idle_time = announced_idle_time(limits);
+        for (auto* connection : m_open)
+            connection->extend_wait(idle_time());
+    }
+
+    void begin_drain() { m_policy.closes_after_response = true; }
     [[nodiscard]] unsigned short port() const { return m_acceptor.local_endpoint().port(); }
     [[nodiscard]] std::size_t active_requests() const { return m_active.load(); }
+    [[nodiscard]] std::size_t open_connections() const { return m_open.size(); }
 
 private:
     asio::awaitable<void> accept_connections()
     {
         while (!m_stopping) {
             auto [error, socket] = co_await m_acceptor.async_accept(use_tuple);
-            if (error == asio::error::operation_aborted || m_stopping)
+            if (error == asio::error::operation_aborted)
                 co_return;
             if (error) {
                 asio::steady_timer timer(m_context, accept_retry_delay);
                 co_await timer.async_wait(use_tuple);
                 continue;
             }
-            if (m_connections >= m_limits.connections) {
-                log_event(event::connection_closed,
-                          {{"reason", "too many connections"}, {"open", std::to_string(m_connections)}});
-                continue; // The socket closes: memory for connections is bounded.
-            }
-            ++m_connections;
-            asio::co_spawn(
-                m_context,
-                [self = shared_from_this(), accepted = std::move(socket)]() mutable {
-                    return self->run_connection(std::move(accepted));
-                },
-                [self = shared_from_this()](const std::exception_ptr& failure) {
-                    --self->m_connections;
-                    log_failure(failure);
-                });
+            start_connection(std::move(socket));
+        }
+    }
+
+    /// Accepts the connections that wait in the listen queue: the system has confirmed them to their callers.
+    void accept_waiting()
+    {
+        boost::system::error_code error;
+        m_acceptor.non_blocking(true, error);
+        while (!error) {
+            tcp::socket socket(m_context);
+            m_acceptor.accept(socket, error);
+            if (!error)
+                start_connection(std::move(socket));
         }
     }
 
+    void start_connection(tcp::socket socket)
+    {
+        if (m_connections >= m_limits.connections) {
+            log_event(event::connection_closed,
+                      {{"reason", "too many connections"}, {"open", std::to_string(m_connections)}});
+            return; // The socket closes: memory for connections is bounded.
+        }
+        ++m_connections;
+        asio::co_spawn(
+            m_context,
+            [self = shared_from_this(), accepted = std::move(socket)]() mutable {
+                return self->run_connection(std::move(accepted));
+            },
+            [self = shared_from_this()](const std::exception_ptr& failure) {
+                --self->m_connections;
+                log_failure(failure);
+            });
+    }
+
     static void log_failure(const std::exception_ptr& failure)
     {
         try {
@@ -179,54 +227,113 @@
     template<typename Stream>
     asio::awaitable<void> serve(Stream& stream)
     {
-        beast::flat_buffer buffer;
         auto* lowest = &beast::get_lowest_layer(stream);
-        while (!m_stopping) {
-            m_idle.insert(lowest);
+        caller_connection connection(*lowest);
+        const open_guard open{m_open, connection};
+        beast::flat_buffer buffer;
+        bool is_first = true;
+        while (true) {
             buffer.max_size(first_read_bytes + m_limits.header_bytes + m_limits.body_bytes);
-            const auto limits = m_limits;
-            const auto idle_since = std::chrono::steady_clock::now();
-            auto received = co_await read_request(stream, buffer, limits);
-            m_idle.erase(lowest);
-            if (!received.message && (received.wait_error != asio::error::eof))
-                log_close(received, limits, idle_since, *lowest);
-            if (!received.message && !received.reason)
+            if (buffer.size() == 0 && !co_await wait(stream, buffer, connection, is_first))
                 co_return;
+            is_first = false;
+            auto received = co_await read_request(stream, buffer, m_limits);
             connection_writer<Stream> writer(stream, received.version, received.keep_alive,
-                                             m_limits.write_timeout);
+                                             m_limits.write_timeout, m_policy);
             if (received.reason) {
+                log_close(connection, received.reason->message);
                 writer.close_after_response();
                 co_await writer.send(to_response(*received.reason));
                 co_await discard_input(*lowest);
                 co_return;
             }
-            if (m_stopping || m_draining)
-                writer.close_after_response();
             ++m_active;
             const active_guard guard{m_active};
             co_await m_handler(std::move(*received.message), writer);
             writer.end_watch();
-            if (!writer.keep_alive())
+            if (!writer.keep_alive()) {
+                co_await close_after_response(connection, *lowest);
                 co_return;
+            }
         }
     }
 
-    /// Says which connection is closed without a response, or with a refusal of what had arrived.
-    void log_close(const read_outcome& received, const server_limits& limits, monotonic_time idle_since,
-                   beast::tcp_stream& stream) const
+    /// Waits for the next request. Returns false if the connection has ended or is to end.
+    template<typename Stream>
+    asio::awaitable<bool> wait(Stream& stream, beast::flat_buffer& buffer, caller_connection& connection,
+                               bool is_first)
     {
-        boost::system::error_code ignored;
-        const auto idle =
-            std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - idle_since);
+        auto time = idle_time();
+        if (m_stopping)
+            time = is_first ? last_accepted_wait : milliseconds(0);
+        connection.begin_wait(std::chrono::steady_clock::now(), time,
+                              m_policy.announced_idle_time + idle_margin);
+        const auto error = co_await wait_for_request(stream, buffer, connection);
+        if (!error) {
+            connection.end_wait();
+            co_return true;
+        }
+        if (error == asio::error::operation_aborted)
+            co_await close_after_response(connection, beast::get_lowest_layer(stream));
+        co_return false;
+    }
+
+    /// Ends a connection without a request. A request that crosses the end stays unread: the reset that it
+    /// causes tells the caller that it has not run.
+    asio::awaitable<void> close_after_response(caller_connection& connection, beast::tcp_stream& stream)
+    {
+        auto& socket = stream.socket();
+        boost::system::error_code error;
+        socket.shutdown(tcp::socket::shutdown_send, error);
+        if (error)
+            co_return;
+        const read_timer timer(stream, close_wait);
+        co_await socket.async_wait(tcp::socket::wait_read, use_tuple);
+        if (connection.unread_bytes() > 0)
+            log_close(connection, "a request crossed the end of the connection");
+    }
+
+    /// Says which connection is closed with bytes of a request on it.
+    void log_close(const caller_connection& connection, const std::string& reason) const
+    {
+        const auto waited = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() -
+                                                                     connection.waiting_since());
         log_event(event::connection_closed,
-                  {{"reason", received.reason ? received.reason->message : received.wait_error.message()},
-                   {"stopping", m_stopping ? "yes" : "no"},
-                   {"unread", std::to_string(stream.socket().available(ignored))},
-                   {"idle_ms", std::to_string(idle.count())},
-                   {"idle_limit_ms", std::to_string(limits.idle_timeout.count())},
-                   {"newest_idle_limit_ms", std::to_string(m_limits.idle_timeout.count())}});
+                  {{"reason", reason},
+                   {"stopping", m_policy.closes_after_response ? "yes" : "no"},
+                   {"unread", std::to_string(connection.unread_bytes())},
+                   {"since_wait_ms", std::to_string(waited.count())},
+                   {"idle_limit_ms", std::to_string(m_limits.idle_timeout.count())}});
+    }
+
+    static seconds announced_idle_time(const server_limits& limits)
+    {
+        const auto time = std::min(limits.idle_timeout - idle_margin, limits.reuse_time);
+        return std::max(shortest_announced_idle_time, std::chrono::floor<seconds>(time));
     }
 
+    /// Time after which an idle connection is closed.
+    [[nodiscard]] milliseconds idle_time() const
+    {
+        return std::max(m_limits.idle_timeout, m_policy.announced_idle_time + idle_margin);
+    }
+
+    /// Keeps a connection in the list of open ones for its lifetime.
+    struct open_guard {
+        std::unordered_set<caller_connection*>& open;
+        caller_connection& connection;
+        open_guard(std::unordered_set<caller_connection*>& all, caller_connection& added)
+            : open(all), connection(added)
+        {
+            open.insert(&connection);
+        }
+        open_guard(const open_guard&) = delete;
+        open_guard& operator=(const open_guard&) = delete;
+        open_guard(open_guard&&) = delete;
+        open_guard& operator=(open_guard&&) = delete;
+        ~open_guard() { open.erase(&connection); }
+    };
+
     struct active_guard {
         std::atomic<std::size_t>& active;
         explicit active_guard(std::atomic<std::size_t>& counter) : active(counter) {}
@@ -242,11 +349,11 @@
     server_limits m_limits;
     request_handler m_handler;
     std::unique_ptr<asio::ssl::context> m_tls;
-    std::unordered_set<beast::tcp_stream*> m_idle;
+    connection_policy m_policy;
+    std::unordered_set<caller_connection*> m_open;
     std::atomic<std::size_t> m_active{0};
     std::uint32_t m_connections = 0;
     bool m_stopping = false;
-    bool m_draining = false;
 };
 
 server::server(asio::io_context& context, const address& listen, server_limits limits,
@@ -277,6 +384,16 @@
     m_implementation->begin_drain();
 }
 
+void server::close_unused()
+{
+    m_implementation->close_unused();
+}
+
+std::size_t server::open_connections() const
+{
+    return m_implementation->open_connections();
+}
+
 unsigned short server::port() const
 {
     return m_implementation->port();
