Forwarding: Refuse at once what cannot be finished before a stop

Cause: a stopping process took each request as always, also those that last longer than the time that it had left.

Change: the process knows when it will end and how long streams of a service take for each token that the request allows (the slowest of the last 64, and half as much again, since the load may grow). What would not be whole by then is refused with 503, not run, Retry-After 0: another process can take it at once.

--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -7,6 +7,7 @@
 #include "siskinwharf/admission/part_quarantine.h"
 #include "siskinwharf/admission/quarantine.h"
 #include "siskinwharf/deployment/snapshot.h"
+#include "siskinwharf/dispatch/answer_pace.h"
 #include "siskinwharf/dispatch/load_balancer.h"
 #include "siskinwharf/dispatch/retry_limiter.h"
 #include "siskinwharf/exchange/process_state.h"
@@ -49,6 +50,15 @@
     [[nodiscard]] const usage::synchronized_clock& clock() const { return m_clock; }
     [[nodiscard]] std::size_t processes() const { return m_processes; }
 
+    /// Sets when this process ends the requests that are still running, because it has been told to stop.
+    void set_stop_time(monotonic_time time) { m_stop_time = time; }
+    [[nodiscard]] std::optional<monotonic_time> stop_time() const { return m_stop_time; }
+    /// Records how long a stream took from its first event to its last.
+    void count_stream(const service_id& service, milliseconds taken, std::uint64_t answer_tokens);
+    /// Upper estimate of that time for a request; nothing before a stream of the service has ended.
+    [[nodiscard]] std::optional<milliseconds> longest_stream(const service_id& service,
+                                                             std::uint64_t answer_tokens) const;
+
     /// Returns the quota cost of a request: 1, or its tokens if the client account is limited by tokens.
     [[nodiscard]] static double quota_amount(const deployment::account& account, const call& request);
     /// `draw` is a number from 0 up to 1 that differs between requests.
@@ -100,6 +110,7 @@
     struct service_traffic {
         dispatch::retry_limiter allowance;
         dispatch::sliding_sum tokens; ///< Prompt tokens requested by callers.
+        dispatch::answer_pace pace;
     };
     service_traffic& traffic_of(const service_id& service);
 
@@ -116,6 +127,7 @@
     admission::part_quarantine m_parts{admission::part_quarantine_limits{}};
     std::optional<monotonic_time> m_crash_news; ///< When this process last learned something of crashes.
     std::size_t m_processes = 1;
+    std::optional<monotonic_time> m_stop_time;
 };
 
 } // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -119,6 +119,8 @@
     const auto now = std::chrono::steady_clock::now();
     if (auto reason = check_quarantine(now))
         return reason;
+    if (auto reason = check_stop(now))
+        return reason;
     const auto rank = m_account != nullptr && m_account->rank ? *m_account->rank : m_route->rank;
     m_call.work.urgency = m_snapshot->urgency(rank);
     m_state.count_request(m_service->id, now);
@@ -148,6 +150,25 @@
     return std::nullopt;
 }
 
+std::optional<http::refusal> forwarded_request::check_stop(monotonic_time now) const
+{
+    const auto stop_time = m_state.stop_time();
+    if (!stop_time || now + longest_answer_time() <= *stop_time)
+        return std::nullopt;
+    // Another process can take it at once.
+    return http::refusal{http::refusal_type::stopping, "this process stops before the answer would be whole",
+                         outcome::not_run, milliseconds(0)};
+}
+
+milliseconds forwarded_request::longest_answer_time() const
+{
+    const auto left = time_left().value_or(default_request_timeout);
+    if (m_route->kind != deployment::request_kind::stream)
+        return left;
+    const auto stream = m_state.longest_stream(m_service->id, m_call.work.answer_tokens);
+    return stream ? std::min(left, m_route->latency_target + *stream) : left;
+}
+
 void forwarded_request::log_quota_exceeded(double amount, monotonic_time now) const
 {
     const auto balance = m_state.quotas().balance(m_account->id, now);
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -60,6 +60,10 @@
     [[nodiscard]] std::optional<http::refusal> authorize();
     /// Returns the reason if the request must not run because it, or others like it, crashed endpoints.
     [[nodiscard]] std::optional<http::refusal> check_quarantine(monotonic_time now) const;
+    /// Returns the reason if this process stops before the answer would be whole.
+    [[nodiscard]] std::optional<http::refusal> check_stop(monotonic_time now) const;
+    /// Upper estimate of the time to the end of the answer.
+    [[nodiscard]] milliseconds longest_answer_time() const;
     void log_quota_exceeded(double amount, monotonic_time now) const;
     boost::asio::awaitable<void> serve();
     /// Selects an endpoint and forwards the request once. Returns nothing if the caller has been answered
--- a/Libraries/forwarding/src/forwarded_request_relay.cpp
+++ b/Libraries/forwarding/src/forwarded_request_relay.cpp
@@ -151,6 +151,9 @@
         throw http::call_error(http::call_stage::after_header, "the stream ended within an event");
     if (m_events.events() > 0)
         count_answer();
+    if (ticket.first_event_at)
+        m_state.count_stream(m_service->id, duration_cast<milliseconds>(last_event - *ticket.first_event_at),
+                             m_call.work.answer_tokens);
     if (!m_writer.started())
         co_await m_writer.begin(answer.status(), m_codec.forwarded(answer.headers()));
     co_await m_writer.finish();
