Forwarding: Count running streams, and take only what surely ends late in a stop

Callers saw: long streams that a process had taken after the signal to stop were cut when it ended.

Cause: the pace of answers was learnt only from those that had ended well, which are the short ones (survivorship).

Change: running answers count with the time that they have taken so far, and answers that broke off count too.

--- a/Libraries/dispatch/include/siskinwharf/dispatch/answer_pace.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/answer_pace.h
@@ -4,25 +4,39 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <unordered_map>
 
 #include "siskinwharf/base/time.h"
 
 namespace siskinwharf::dispatch {
 
-/// How long the engines of a service take from the first event of an answer to its last, for each token that
-/// the request allows. Keeps the newest answers only.
+/// How long the engines of a service take from the first event of an answer, for each token that the request
+/// allows. Knows the newest answers that have ended, in whatever way, and those that are running: the answers
+/// that end first are the short ones.
 class answer_pace {
 public:
-    /// `answer_tokens` is the upper bound that the request set, which the answer need not have reached.
-    void add(milliseconds taken, std::uint64_t answer_tokens);
-    /// Upper estimate from the slowest answer kept, with room for more load; nothing before the first answer.
-    [[nodiscard]] std::optional<milliseconds> longest(std::uint64_t answer_tokens) const;
+    using answer_number = std::uint64_t;
+
+    /// An answer has its first event. `answer_tokens` is the upper bound that the request set, which the
+    /// answer need not reach.
+    [[nodiscard]] answer_number begin(std::uint64_t answer_tokens, monotonic_time now);
+    void end(answer_number answer, monotonic_time now);
+    /// Upper estimate from the slowest answer known, with room for more load; nothing if none is known.
+    [[nodiscard]] std::optional<milliseconds> longest(std::uint64_t answer_tokens, monotonic_time now) const;
 
 private:
+    struct running_answer {
+        monotonic_time since;
+        std::uint64_t answer_tokens;
+    };
+    [[nodiscard]] static double ms_per_token(const running_answer& answer, monotonic_time now);
+
     static constexpr std::size_t kept_answers = 64;
 
-    std::array<double, kept_answers> m_ms_per_token{};
-    std::size_t m_count = 0;
+    std::array<double, kept_answers> m_ended{}; ///< Milliseconds for each token; 0 where there is none.
+    std::size_t m_ended_count = 0;
+    answer_number m_last = 0;
+    std::unordered_map<answer_number, running_answer> m_running;
 };
 
 } // namespace siskinwharf::dispatch
--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -20,6 +20,14 @@
 
 namespace siskinwharf::forwarding {
 
+/// Times of a planned stop.
+struct stop_schedule {
+    /// Until then the load balancer may still send new connections here.
+    monotonic_time drained{};
+    /// Requests that are still running then are ended.
+    monotonic_time end{};
+};
+
 /// State of a forwarding process: configuration, endpoints, quotas, retry budgets and usage counts. Performs
 /// no I/O. Not thread-safe; used from one thread.
 class traffic_state {
@@ -50,14 +58,11 @@
     [[nodiscard]] const usage::synchronized_clock& clock() const { return m_clock; }
     [[nodiscard]] std::size_t processes() const { return m_processes; }
 
-    /// Sets when this process ends the requests that are still running, because it has been told to stop.
-    void set_stop_time(monotonic_time time) { m_stop_time = time; }
-    [[nodiscard]] std::optional<monotonic_time> stop_time() const { return m_stop_time; }
-    /// Records how long a stream took from its first event to its last.
-    void count_stream(const service_id& service, milliseconds taken, std::uint64_t answer_tokens);
-    /// Upper estimate of that time for a request; nothing before a stream of the service has ended.
-    [[nodiscard]] std::optional<milliseconds> longest_stream(const service_id& service,
-                                                             std::uint64_t answer_tokens) const;
+    /// Tells the state that this process has been told to stop.
+    void begin_stop(const stop_schedule& stop) { m_stop = stop; }
+    [[nodiscard]] const std::optional<stop_schedule>& stop() const { return m_stop; }
+    /// How long the streams of a service take.
+    [[nodiscard]] dispatch::answer_pace& pace(const service_id& service);
 
     /// Returns the quota cost of a request: 1, or its tokens if the client account is limited by tokens.
     [[nodiscard]] static double quota_amount(const deployment::account& account, const call& request);
@@ -127,7 +132,7 @@
     admission::part_quarantine m_parts{admission::part_quarantine_limits{}};
     std::optional<monotonic_time> m_crash_news; ///< When this process last learned something of crashes.
     std::size_t m_processes = 1;
-    std::optional<monotonic_time> m_stop_time;
+    std::optional<stop_schedule> m_stop;
 };
 
 } // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -152,20 +152,23 @@
 
 std::optional<http::refusal> forwarded_request::check_stop(monotonic_time now) const
 {
-    const auto stop_time = m_state.stop_time();
-    if (!stop_time || now + longest_answer_time() <= *stop_time)
+    const auto& stop = m_state.stop();
+    if (!stop || now + longest_answer_time(now) <= stop->end)
         return std::nullopt;
     // Another process can take it at once.
     return http::refusal{http::refusal_type::stopping, "this process stops before the answer would be whole",
                          outcome::not_run, milliseconds(0)};
 }
 
-milliseconds forwarded_request::longest_answer_time() const
+milliseconds forwarded_request::longest_answer_time(monotonic_time now) const
 {
     const auto left = time_left().value_or(default_request_timeout);
-    if (m_route->kind != deployment::request_kind::stream)
+    // An estimate will do while callers cannot know that the process stops: they have few retries.
+    const bool may_estimate =
+        m_route->kind == deployment::request_kind::stream && m_state.stop() && now < m_state.stop()->drained;
+    if (!may_estimate)
         return left;
-    const auto stream = m_state.longest_stream(m_service->id, m_call.work.answer_tokens);
+    const auto stream = m_state.pace(m_service->id).longest(m_call.work.answer_tokens, now);
     return stream ? std::min(left, m_route->latency_target + *stream) : left;
 }
 
@@ -304,6 +307,8 @@
         end = attempt_end::caller_gone;
     }
     const auto now = std::chrono::steady_clock::now();
+    if (m_running_answer)
+        m_state.pace(m_service->id).end(*std::exchange(m_running_answer, std::nullopt), now);
     auto result = dispatch::attempt_result::cancelled;
     if (end == attempt_end::delivered)
         result = dispatch::attempt_result::answered;
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -63,7 +63,7 @@
     /// Returns the reason if this process stops before the answer would be whole.
     [[nodiscard]] std::optional<http::refusal> check_stop(monotonic_time now) const;
     /// Upper estimate of the time to the end of the answer.
-    [[nodiscard]] milliseconds longest_answer_time() const;
+    [[nodiscard]] milliseconds longest_answer_time(monotonic_time now) const;
     void log_quota_exceeded(double amount, monotonic_time now) const;
     boost::asio::awaitable<void> serve();
     /// Selects an endpoint and forwards the request once. Returns nothing if the caller has been answered
@@ -130,6 +130,8 @@
     bool m_is_run_counted = false;
     bool m_has_crash_check = false; ///< An endpoint that ran the request has been checked for a crash.
     bool m_is_caller_gone = false;
+    std::optional<dispatch::answer_pace::answer_number>
+        m_running_answer;     ///< Stream that has its first event.
     bool m_has_ended = false; ///< `run` has returned.
     /// Error response of an endpoint, which is sent if no retry succeeds.
     std::optional<http::response> m_failure_answer;
--- a/Libraries/forwarding/src/forwarded_request_relay.cpp
+++ b/Libraries/forwarding/src/forwarded_request_relay.cpp
@@ -134,7 +134,9 @@
             break;
         if (!has_event) {
             has_event = true;
-            m_state.balancer().first_event(ticket, std::chrono::steady_clock::now());
+            const auto now = std::chrono::steady_clock::now();
+            m_state.balancer().first_event(ticket, now);
+            m_running_answer = m_state.pace(m_service->id).begin(m_call.work.answer_tokens, now);
             count_run();
         }
         const auto events_before = m_events.events();
@@ -151,9 +153,6 @@
         throw http::call_error(http::call_stage::after_header, "the stream ended within an event");
     if (m_events.events() > 0)
         count_answer();
-    if (ticket.first_event_at)
-        m_state.count_stream(m_service->id, duration_cast<milliseconds>(last_event - *ticket.first_event_at),
-                             m_call.work.answer_tokens);
     if (!m_writer.started())
         co_await m_writer.begin(answer.status(), m_codec.forwarded(answer.headers()));
     co_await m_writer.finish();
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -158,16 +158,9 @@
     m_ledger.add(account, current_window(now));
 }
 
-void traffic_state::count_stream(const service_id& service, milliseconds taken, std::uint64_t answer_tokens)
+dispatch::answer_pace& traffic_state::pace(const service_id& service)
 {
-    traffic_of(service).pace.add(taken, answer_tokens);
-}
-
-std::optional<milliseconds> traffic_state::longest_stream(const service_id& service,
-                                                          std::uint64_t answer_tokens) const
-{
-    const auto found = m_services.find(service);
-    return found == m_services.end() ? std::nullopt : found->second.pace.longest(answer_tokens);
+    return traffic_of(service).pace;
 }
 
 admission::content_status traffic_state::count_crash(const admission::content_key& content,
--- a/Libraries/forwarding/tests/stopping_process_test.cpp
+++ b/Libraries/forwarding/tests/stopping_process_test.cpp
@@ -4,12 +4,23 @@
 
 namespace siskinwharf::forwarding {
 
+namespace {
+
+const std::string whole_stream = stream_head + chunk("id: 1\n\n") + "0\r\n\r\n";
+
+/// The routes of the tests allow 2 s.
+void stop_in(forwarding_fixture& test, milliseconds drain, milliseconds time)
+{
+    const auto now = std::chrono::steady_clock::now();
+    test.state.begin_stop({now + drain, now + time});
+}
+
+} // namespace
+
 TEST_CASE("a stopping process takes a request that it cannot finish")
 {
     forwarding_fixture test({{answer(200, "Signed: 1\r\n", "body")}});
-    const auto now = std::chrono::steady_clock::now();
-    // The routes allow 2 s.
-    test.state.set_stop_time(now + milliseconds(1'500));
+    stop_in(test, milliseconds(1'500), milliseconds(1'500));
     for (const auto* path : {"/order/1", "/stream/1", "/resumable/1"}) {
         INFO(path);
         const auto received = test.ask(path);
@@ -23,21 +34,24 @@
 
 TEST_CASE("a stopping process refuses a request that it can finish")
 {
-    forwarding_fixture test({{answer(200, "Signed: 1\r\n", "body")}});
-    test.state.set_stop_time(std::chrono::steady_clock::now() + milliseconds(2'500));
-    const auto received = test.ask("/order/1");
-    CHECK(received.find("HTTP/1.1 200") == 0);
-    CHECK(test.runs() == 1);
+    forwarding_fixture test({{answer(200, "Signed: 1\r\n", "body"), whole_stream}});
+    stop_in(test, milliseconds(0), milliseconds(2'500));
+    CHECK(test.ask("/order/1").find("HTTP/1.1 200") == 0);
+    CHECK(test.ask("/stream/1").find("HTTP/1.1 200") == 0);
+    CHECK(test.runs() == 2);
 }
 
-TEST_CASE("a stopping process knows from earlier streams which ones it can finish")
+TEST_CASE("a stopping process knows from other streams which ones it can finish, but not for sure")
 {
-    forwarding_fixture test({});
-    const service_id service("s");
-    CHECK_FALSE(test.state.longest_stream(service, 100));
-    test.state.count_stream(service, milliseconds(500), 50);
-    CHECK(test.state.longest_stream(service, 100) == milliseconds(1'500));
-    CHECK_FALSE(test.state.longest_stream(service_id("other"), 100));
+    forwarding_fixture test({{whole_stream, whole_stream}});
+    // The route's latency target is 1 s; one stream has ended fast.
+    CHECK(test.ask("/stream/1").find("HTTP/1.1 200") == 0);
+    stop_in(test, milliseconds(1'400), milliseconds(1'500));
+    CHECK(test.ask("/stream/2").find("HTTP/1.1 200") == 0);
+    // Once callers can know of the stop, only what surely ends in time is taken.
+    stop_in(test, milliseconds(0), milliseconds(1'500));
+    CHECK(test.ask("/stream/3").find("HTTP/1.1 503") == 0);
+    CHECK(test.runs() == 2);
 }
 
 } // namespace siskinwharf::forwarding
--- a/Services/siskinwharfd/src/forwarding_process.cpp
+++ b/Services/siskinwharfd/src/forwarding_process.cpp
@@ -196,7 +196,7 @@
                                             {"connections", std::to_string(m_callers.open_connections())}});
         m_peers.set_leaving();
         m_duties.stop();
-        m_state.set_stop_time(end);
+        m_state.begin_stop({started + drain_time, end});
         m_callers.begin_drain();
         asio::steady_timer timer(m_context, drain_time);
         co_await timer.async_wait(use_tuple);
