--- a/Libraries/dispatch/src/answer_pace.cpp
+++ b/Libraries/dispatch/src/answer_pace.cpp
@@ -10,11 +10,17 @@
 /// The load of the engine may grow while an answer runs.
 constexpr double load_growth = 1.5;
 
+/// Requests that name no number of tokens are compared with each other.
+std::uint64_t counted(std::uint64_t answer_tokens)
+{
+    return std::max<std::uint64_t>(answer_tokens, 1);
+}
+
 } // namespace
 
 answer_pace::answer_number answer_pace::begin(std::uint64_t answer_tokens, monotonic_time now)
 {
-    m_running.insert({++m_last, {now, std::max<std::uint64_t>(answer_tokens, 1)}});
+    m_running.insert({++m_last, {now, counted(answer_tokens)}});
     return m_last;
 }
 
@@ -35,7 +41,8 @@
     auto slowest = *std::max_element(m_ended.begin(), m_ended.end());
     for (const auto& [number, answer] : m_running)
         slowest = std::max(slowest, ms_per_token(answer, now));
-    return milliseconds(std::llround(std::ceil(load_growth * slowest * static_cast<double>(answer_tokens))));
+    return milliseconds(
+        std::llround(std::ceil(load_growth * slowest * static_cast<double>(counted(answer_tokens)))));
 }
 
 double answer_pace::ms_per_token(const running_answer& answer, monotonic_time now)
--- a/Libraries/dispatch/tests/answer_pace_test.cpp
+++ b/Libraries/dispatch/tests/answer_pace_test.cpp
@@ -36,6 +36,10 @@
     CHECK(pace.longest(100, start + milliseconds(4'000)) == milliseconds(6'000));
     pace.end(slow, start + milliseconds(5'000));
     CHECK(pace.longest(100, start + milliseconds(9'000)) == milliseconds(7'500));
+    // Requests that name no number of tokens are expected to take as long as each other.
+    answer_pace unnamed;
+    add_ended(unnamed, milliseconds(2'000), 0);
+    CHECK(unnamed.longest(0, start) == milliseconds(3'000));
     // An answer ends once.
     pace.end(slow, start + milliseconds(20'000));
     CHECK(pace.longest(100, start + milliseconds(20'000)) == milliseconds(7'500));
--- a/Libraries/http/src/caller_connection.h
+++ b/Libraries/http/src/caller_connection.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <algorithm>
+#include <optional>
+
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include "siskinwharf/base/time.h"
@@ -11,13 +14,16 @@
 public:
     explicit caller_connection(boost::beast::tcp_stream& stream) : m_stream(stream) {}
 
-    /// The connection waits for a request for at most `time`. The caller may send one for at most `use`.
-    void begin_wait(monotonic_time now, milliseconds time, milliseconds use)
+    /// The connection waits for a request for at most `time`. `told` is the time for which the caller was
+    /// told that it may send one; a caller that was told nothing may do so as long as the connection waits.
+    void begin_wait(monotonic_time now, milliseconds time, std::optional<milliseconds> told)
     {
         m_is_waiting = true;
         m_waiting_since = now;
         m_waits_until = now + time;
-        m_usable_until = now + use;
+        m_told_until.reset();
+        if (told)
+            m_told_until = now + *told;
     }
 
     /// Bytes of a request have arrived.
@@ -36,7 +42,10 @@
     }
 
     /// Whether the caller may still send a request.
-    [[nodiscard]] bool is_usable(monotonic_time now) const { return now < m_usable_until; }
+    [[nodiscard]] bool is_usable(monotonic_time now) const
+    {
+        return now < m_told_until.value_or(m_waits_until);
+    }
     [[nodiscard]] monotonic_time waiting_since() const { return m_waiting_since; }
     [[nodiscard]] monotonic_time waits_until() const { return m_waits_until; }
 
@@ -53,7 +62,7 @@
     bool m_is_waiting = false;
     monotonic_time m_waiting_since{};
     monotonic_time m_waits_until{};
-    monotonic_time m_usable_until{};
+    std::optional<monotonic_time> m_told_until;
 };
 
 } // namespace siskinwharf::http
--- a/Libraries/http/src/server.cpp
+++ b/Libraries/http/src/server.cpp
@@ -266,8 +266,10 @@
         auto time = idle_time();
         if (m_stopping)
             time = is_first ? last_accepted_wait : milliseconds(0);
-        connection.begin_wait(std::chrono::steady_clock::now(), time,
-                              m_policy.announced_idle_time + idle_margin);
+        std::optional<milliseconds> told;
+        if (!is_first)
+            told = m_policy.announced_idle_time + idle_margin;
+        connection.begin_wait(std::chrono::steady_clock::now(), time, told);
         const auto error = co_await wait_for_request(stream, buffer, connection);
         if (!error) {
             connection.end_wait();
--- a/Libraries/http/tests/connection_end_test.cpp
+++ b/Libraries/http/tests/connection_end_test.cpp
@@ -262,6 +262,26 @@
     });
 }
 
+TEST_CASE("a stop closes no connection whose caller has not been told for how long it may use it")
+{
+    connection_fixture test(milliseconds(2'000));
+    test.limits.reuse_time = milliseconds(1'000);
+    test.front->set_limits(test.limits);
+    test.run([&]() -> asio::awaitable<void> {
+        raw_caller caller(test.context);
+        co_await caller.connect(test.front->port());
+        co_await test.sleep(milliseconds(200));
+        test.limits.idle_timeout = milliseconds(20'000);
+        test.front->set_limits(test.limits);
+        test.front->begin_drain();
+        co_await test.sleep(milliseconds(2'300));
+        test.front->close_unused();
+        co_await caller.send(plain_request);
+        const auto received = co_await caller.receive();
+        CHECK(is_whole(received));
+    });
+}
+
 TEST_CASE("a response says that its connection ends if the stop began after the request")
 {
     connection_fixture test(milliseconds(20'000));
