Http, Forwarding: Keep what was announced, and refuse in a stop only what is expected to be cut

Cause: one answer of few tokens made all streams look long (the slowest of 64 by token, half as much again), so that a stopping process refused nearly all streams, and it kept its listening socket open, so that callers were refused where a closed port had sent them on at once. Now: one pace from all answers together, without a factor; the listening socket closes after 3 s, when its queue is empty; callers are told to use a connection again within 3 s, so that a stop does not last longer than before.

--- a/Libraries/dispatch/include/siskinwharf/dispatch/answer_pace.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/answer_pace.h
@@ -18,22 +18,25 @@
     using answer_number = std::uint64_t;
 
     /// An answer has its first event. `answer_tokens` is the upper bound that the request set, which the
-    /// answer need not reach.
+    /// answer need not reach; 0 if it set none.
     [[nodiscard]] answer_number begin(std::uint64_t answer_tokens, monotonic_time now);
     void end(answer_number answer, monotonic_time now);
-    /// Upper estimate from the slowest answer known, with room for more load; nothing if none is known.
-    [[nodiscard]] std::optional<milliseconds> longest(std::uint64_t answer_tokens, monotonic_time now) const;
+    /// Expected time from the first event to the last; nothing if too little is known.
+    [[nodiscard]] std::optional<milliseconds> expected(std::uint64_t answer_tokens, monotonic_time now) const;
 
 private:
     struct running_answer {
         monotonic_time since;
         std::uint64_t answer_tokens;
     };
-    [[nodiscard]] static double ms_per_token(const running_answer& answer, monotonic_time now);
+    struct ended_answer {
+        double taken_ms = 0;
+        std::uint64_t answer_tokens = 0;
+    };
 
     static constexpr std::size_t kept_answers = 64;
 
-    std::array<double, kept_answers> m_ended{}; ///< Milliseconds for each token; 0 where there is none.
+    std::array<ended_answer, kept_answers> m_ended{};
     std::size_t m_ended_count = 0;
     answer_number m_last = 0;
     std::unordered_map<answer_number, running_answer> m_running;
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -153,14 +153,14 @@
 std::optional<http::refusal> forwarded_request::check_stop(monotonic_time now) const
 {
     const auto& stop = m_state.stop();
-    if (!stop || now + longest_answer_time(now) <= stop->end)
+    if (!stop || now + expected_answer_time(now) <= stop->end)
         return std::nullopt;
     // Another process can take it at once.
     return http::refusal{http::refusal_type::stopping, "this process stops before the answer would be whole",
                          outcome::not_run, milliseconds(0)};
 }
 
-milliseconds forwarded_request::longest_answer_time(monotonic_time now) const
+milliseconds forwarded_request::expected_answer_time(monotonic_time now) const
 {
     const auto left = time_left().value_or(default_request_timeout);
     // An estimate will do while callers cannot know that the process stops: they have few retries.
@@ -168,8 +168,8 @@
         m_route->kind == deployment::request_kind::stream && m_state.stop() && now < m_state.stop()->drained;
     if (!may_estimate)
         return left;
-    const auto stream = m_state.pace(m_service->id).longest(m_call.work.answer_tokens, now);
-    return stream ? std::min(left, m_route->latency_target + *stream) : left;
+    const auto stream = m_state.pace(m_service->id).expected(m_call.work.answer_tokens, now);
+    return stream ? std::min(left, *stream) : left;
 }
 
 void forwarded_request::log_quota_exceeded(double amount, monotonic_time now) const
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -62,8 +62,8 @@
     [[nodiscard]] std::optional<http::refusal> check_quarantine(monotonic_time now) const;
     /// Returns the reason if this process stops before the answer would be whole.
     [[nodiscard]] std::optional<http::refusal> check_stop(monotonic_time now) const;
-    /// Upper estimate of the time to the end of the answer.
-    [[nodiscard]] milliseconds longest_answer_time(monotonic_time now) const;
+    /// Time to the end of the answer: expected while a process has just begun to stop, otherwise at most.
+    [[nodiscard]] milliseconds expected_answer_time(monotonic_time now) const;
     void log_quota_exceeded(double amount, monotonic_time now) const;
     boost::asio::awaitable<void> serve();
     /// Selects an endpoint and forwards the request once. Returns nothing if the caller has been answered
--- a/Libraries/forwarding/tests/forwarding_fixture.h
+++ b/Libraries/forwarding/tests/forwarding_fixture.h
@@ -28,6 +28,7 @@
         if (const auto key = message.find_header("Key"))
             result.key = std::string(*key);
         result.deadline = milliseconds(3'000);
+        result.work.answer_tokens = 100;
         if (const auto parts = message.find_header("Parts")) {
             // Each part is one character.
             for (const char part : *parts)
--- a/Libraries/http/include/siskinwharf/http/server.h
+++ b/Libraries/http/include/siskinwharf/http/server.h
@@ -39,7 +39,8 @@
     virtual void watch_disconnect(std::function<void()> handler) = 0;
 };
 
-/// Serves one request. Exceptions other than `caller_disconnected` end the connection.
+/// Serves one request. After an exception other than `caller_disconnected` the caller gets status 500, or the
+/// response that has begun is aborted.
 using request_handler = std::function<boost::asio::awaitable<void>(request, response_writer&)>;
 
 /// Bounds on what one connection may cost.
@@ -84,13 +85,15 @@
     /// From now on each response ends its connection, while connections are still accepted and requests
     /// answered.
     void begin_drain();
+    /// Takes the connections that the system has already accepted, then closes the listening socket. Open
+    /// connections stay; each further response ends its connection.
+    void stop_accepting();
     /// Closes the connections that wait for a request although their callers were told not to use them again
     /// after so long. A connection on which bytes have arrived is not closed.
     void close_unused();
-    /// Takes the connections that the system has already accepted, then closes the listening socket and the
-    /// connections without a request. Requests in progress go on and are answered with `Connection: close`.
-    /// This function and the two above must be called on the thread that runs the context.
-    void stop_accepting();
+    /// Closes all connections that wait for a request. Requests in progress go on.
+    void close_idle();
+    // All functions that change something must be called on the thread that runs the context.
     [[nodiscard]] unsigned short port() const;
     /// Requests that have been read and not yet answered.
     [[nodiscard]] std::size_t active_requests() const;
--- a/Libraries/http/src/connection.h
+++ b/Libraries/http/src/connection.h
@@ -60,6 +60,16 @@
           m_policy(policy)
     {
     }
+    connection_writer(const connection_writer&) = delete;
+    connection_writer& operator=(const connection_writer&) = delete;
+    connection_writer(connection_writer&&) = delete;
+    connection_writer& operator=(connection_writer&&) = delete;
+    ~connection_writer() override
+    {
+        end_watch();
+        if (m_has_open_body && !m_chunked)
+            reset_on_close();
+    }
 
     asio::awaitable<void> send(response whole) override
     {
@@ -80,6 +90,7 @@
         m_chunked = m_version >= 11;
         if (!m_chunked)
             m_keep_alive = false;
+        m_has_open_body = true;
         prepare(message, status, headers);
         message.chunked(m_chunked);
         beast::http::response_serializer<beast::http::empty_body> serializer(message);
@@ -105,29 +116,27 @@
 
     asio::awaitable<void> finish() override
     {
-        if (!m_chunked)
-            co_return;
-        beast::get_lowest_layer(m_stream).expires_after(m_write_timeout);
-        const auto [error, size] =
-            co_await asio::async_write(m_stream, beast::http::make_chunk_last(), use_tuple);
-        check(error);
+        if (m_chunked) {
+            beast::get_lowest_layer(m_stream).expires_after(m_write_timeout);
+            const auto [error, size] =
+                co_await asio::async_write(m_stream, beast::http::make_chunk_last(), use_tuple);
+            check(error);
+        }
+        m_has_open_body = false;
     }
 
     [[nodiscard]] bool started() const override { return m_started; }
     [[nodiscard]] bool keep_alive() const { return m_keep_alive; }
     void close_after_response() override { m_keep_alive = false; }
+    /// Time for which the response says that the connection may be used again; nothing if it may not be.
+    [[nodiscard]] std::optional<seconds> announced() const { return m_announced; }
 
     void abort() override
     {
         m_keep_alive = false;
-        auto& lowest = beast::get_lowest_layer(m_stream);
-        // Without chunks the end of the connection ends the body, and only a reset shows that it is not
-        // whole.
-        if (m_started && !m_chunked) {
-            beast::error_code ignored;
-            lowest.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-        }
-        lowest.close();
+        if (m_has_open_body && !m_chunked)
+            reset_on_close();
+        beast::get_lowest_layer(m_stream).close();
     }
 
     void watch_disconnect(std::function<void()> handler) override
@@ -167,6 +176,13 @@
         return error != asio::error::would_block && size == 0;
     }
 
+    /// Without chunks the end of the connection ends the body, and only a reset shows that it is not whole.
+    void reset_on_close()
+    {
+        beast::error_code ignored;
+        beast::get_lowest_layer(m_stream).socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+
     template<typename Message>
     void prepare(Message& message, int status, const std::vector<header_field>& headers)
     {
@@ -179,9 +195,9 @@
         message.keep_alive(m_keep_alive);
         if (!m_keep_alive)
             return;
+        m_announced = m_policy.announced_idle_time;
         message.set(beast::http::field::connection, "keep-alive");
-        message.set(beast::http::field::keep_alive,
-                    "timeout=" + std::to_string(m_policy.announced_idle_time.count()));
+        message.set(beast::http::field::keep_alive, "timeout=" + std::to_string(m_announced->count()));
     }
 
     static void check(const beast::error_code& error)
@@ -195,6 +211,8 @@
     bool m_keep_alive;
     bool m_started = false;
     bool m_chunked = false;
+    bool m_has_open_body = false; ///< A body has begun in parts and is not whole.
+    std::optional<seconds> m_announced;
     milliseconds m_write_timeout;
     const connection_policy& m_policy;
     std::shared_ptr<disconnect_watch> m_watch;
--- a/Libraries/http/src/server.cpp
+++ b/Libraries/http/src/server.cpp
@@ -111,11 +111,15 @@
 
     void stop_accepting()
     {
-        m_stopping = true;
         begin_drain();
         accept_waiting();
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
+    }
+
+    void close_idle()
+    {
+        m_stopping = true;
         const auto now = std::chrono::steady_clock::now();
         for (auto* connection : m_open)
             connection->stop_waiting(now);
@@ -146,7 +150,7 @@
 private:
     asio::awaitable<void> accept_connections()
     {
-        while (!m_stopping) {
+        while (m_acceptor.is_open()) {
             auto [error, socket] = co_await m_acceptor.async_accept(use_tuple);
             if (error == asio::error::operation_aborted)
                 co_return;
@@ -231,11 +235,15 @@
         caller_connection connection(*lowest);
         const open_guard open{m_open, connection};
         beast::flat_buffer buffer;
+        std::optional<seconds> told;
         bool is_first = true;
         while (true) {
             buffer.max_size(first_read_bytes + m_limits.header_bytes + m_limits.body_bytes);
-            if (buffer.size() == 0 && !co_await wait(stream, buffer, connection, is_first))
-                co_return;
+            if (buffer.size() == 0) {
+                begin_wait(connection, told, is_first);
+                if (!co_await wait(stream, buffer, connection))
+                    co_return;
+            }
             is_first = false;
             auto received = co_await read_request(stream, buffer, m_limits);
             connection_writer<Stream> writer(stream, received.version, received.keep_alive,
@@ -247,49 +255,80 @@
                 co_await discard_input(*lowest);
                 co_return;
             }
-            ++m_active;
-            const active_guard guard{m_active};
-            co_await m_handler(std::move(*received.message), writer);
+            co_await answer(std::move(*received.message), writer);
             writer.end_watch();
+            told = writer.announced();
             if (!writer.keep_alive()) {
-                co_await close_after_response(connection, *lowest);
+                co_await close_after_response(stream, connection);
                 co_return;
             }
         }
     }
 
+    /// Lets the handler answer a request. A request that was read gets an answer whatever the handler meets.
+    template<typename Stream>
+    asio::awaitable<void> answer(request message, connection_writer<Stream>& writer)
+    {
+        ++m_active;
+        const active_guard guard{m_active};
+        const auto path = message.path;
+        std::string failure;
+        try {
+            co_await m_handler(std::move(message), writer);
+        } catch (const caller_disconnected&) {
+            throw;
+        } catch (const std::exception& error) {
+            failure = error.what();
+            log_event(event::connection_failed, {{"reason", failure}, {"path", path}});
+        }
+        if (failure.empty())
+            co_return;
+        writer.close_after_response();
+        if (writer.started()) {
+            writer.abort();
+            co_return;
+        }
+        const refusal reason{refusal_type::internal, "the request could not be handled", outcome::unknown};
+        co_await writer.send(to_response(reason));
+    }
+
+    void begin_wait(caller_connection& connection, std::optional<seconds> told, bool is_first) const
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const auto last_wait = is_first ? last_accepted_wait : milliseconds(0);
+        std::optional<milliseconds> usable;
+        if (told)
+            usable = *told + idle_margin;
+        const auto time = m_stopping ? last_wait : std::max(idle_time(), usable.value_or(milliseconds(0)));
+        connection.begin_wait(now, time, usable);
+    }
+
     /// Waits for the next request. Returns false if the connection has ended or is to end.
     template<typename Stream>
-    asio::awaitable<bool> wait(Stream& stream, beast::flat_buffer& buffer, caller_connection& connection,
-                               bool is_first)
+    asio::awaitable<bool> wait(Stream& stream, beast::flat_buffer& buffer, caller_connection& connection)
     {
-        auto time = idle_time();
-        if (m_stopping)
-            time = is_first ? last_accepted_wait : milliseconds(0);
-        std::optional<milliseconds> told;
-        if (!is_first)
-            told = m_policy.announced_idle_time + idle_margin;
-        connection.begin_wait(std::chrono::steady_clock::now(), time, told);
         const auto error = co_await wait_for_request(stream, buffer, connection);
-        if (!error) {
-            connection.end_wait();
-            co_return true;
-        }
+        connection.end_wait();
         if (error == asio::error::operation_aborted)
-            co_await close_after_response(connection, beast::get_lowest_layer(stream));
-        co_return false;
+            co_await close_after_response(stream, connection);
+        co_return !error;
     }
 
     /// Ends a connection without a request. A request that crosses the end stays unread: the reset that it
     /// causes tells the caller that it has not run.
-    asio::awaitable<void> close_after_response(caller_connection& connection, beast::tcp_stream& stream)
+    template<typename Stream>
+    asio::awaitable<void> close_after_response(Stream& stream, caller_connection& connection)
     {
-        auto& socket = stream.socket();
+        // The end of a TLS connection has a message of its own, which must go out first.
+        if (m_tls)
+            co_return;
+        auto& lowest = beast::get_lowest_layer(stream);
+        auto& socket = lowest.socket();
         boost::system::error_code error;
         socket.shutdown(tcp::socket::shutdown_send, error);
         if (error)
             co_return;
-        const read_timer timer(stream, close_wait);
+        const read_timer timer(lowest, close_wait);
         co_await socket.async_wait(tcp::socket::wait_read, use_tuple);
         if (connection.unread_bytes() > 0)
             log_close(connection, "a request crossed the end of the connection");
@@ -386,6 +425,11 @@
     m_implementation->begin_drain();
 }
 
+void server::close_idle()
+{
+    m_implementation->close_idle();
+}
+
 void server::close_unused()
 {
     m_implementation->close_unused();
--- a/Libraries/http/tests/connection_end_test.cpp
+++ b/Libraries/http/tests/connection_end_test.cpp
@@ -81,6 +81,15 @@
     {
         ++requests;
         co_await sleep(answer_time);
+        if (message.path == "/stream") {
+            co_await writer.begin(200, {});
+            co_await sleep(answer_time);
+            co_await writer.write("whole");
+            co_await writer.finish();
+            co_return;
+        }
+        if (message.path == "/fault")
+            throw std::runtime_error("a fault of the handler");
         if (message.path == "/cut") {
             co_await writer.begin(200, {});
             co_await writer.write("half");
@@ -190,6 +199,40 @@
     });
 }
 
+TEST_CASE(
+    "an idle time that is lowered during a response does not end its connection before its caller was told")
+{
+    connection_fixture test(milliseconds(4'000));
+    test.answer_time = milliseconds(200);
+    test.run([&]() -> asio::awaitable<void> {
+        raw_caller caller(test.context);
+        co_await caller.connect(test.front->port());
+        co_await caller.send("GET /stream HTTP/1.1\r\nHost: a\r\n\r\n");
+        co_await test.sleep(milliseconds(300));
+        test.limits.idle_timeout = milliseconds(1'000);
+        test.front->set_limits(test.limits);
+        const auto first = co_await caller.receive();
+        CHECK(announced(first, seconds(0)) == seconds(3));
+        co_await test.sleep(milliseconds(2'900));
+        co_await caller.send(plain_request);
+        const auto second = co_await caller.receive();
+        CHECK(second.find("HTTP/1.1 200") != std::string::npos);
+    });
+}
+
+TEST_CASE("a request whose handler meets a fault gets an answer")
+{
+    connection_fixture test(milliseconds(4'000));
+    test.run([&]() -> asio::awaitable<void> {
+        raw_caller caller(test.context);
+        co_await caller.connect(test.front->port());
+        co_await caller.send("GET /fault HTTP/1.1\r\nHost: a\r\n\r\n");
+        const auto received = co_await caller.receive();
+        CHECK(received.find("HTTP/1.1 500") == 0);
+        CHECK(received.find("\"outcome\":\"unknown\"") != std::string::npos);
+    });
+}
+
 TEST_CASE("an idle connection is closed in the end, and its caller learns it")
 {
     connection_fixture test(milliseconds(500));
@@ -226,6 +269,7 @@
         // At its end, a connection on which bytes lie is no idle one.
         co_await unused.send(plain_request);
         test.front->stop_accepting();
+        test.front->close_idle();
         const auto last = co_await unused.receive();
         CHECK(is_whole(last));
         co_await half.send(plain_request.substr(9));
@@ -309,6 +353,7 @@
         asio::write(socket, asio::buffer(plain_request));
         test.front->begin_drain();
         test.front->stop_accepting();
+        test.front->close_idle();
         std::string received;
         auto buffer = asio::dynamic_buffer(received);
         co_await asio::async_read(socket, buffer, use_tuple);
@@ -325,6 +370,7 @@
         co_await caller.send(plain_request);
         co_await caller.receive();
         test.front->stop_accepting();
+        test.front->close_idle();
         co_await test.sleep(milliseconds(50));
         co_await caller.send(plain_request);
         co_await test.sleep(milliseconds(50));
--- a/Services/siskinwharfd/src/forwarding_process.cpp
+++ b/Services/siskinwharfd/src/forwarding_process.cpp
@@ -37,12 +37,13 @@
 /// After a request to stop, connections are accepted until the load balancer has seen the failing readiness
 /// check twice, at one check a second.
 constexpr milliseconds drain_time{3'000};
+/// Callers are told to use a connection again within this time only, so that a stopping process soon has none
+/// that is still in use.
+constexpr milliseconds reuse_time{3'000};
 /// The process ends this long before it would be killed.
 constexpr milliseconds stop_margin{400};
 /// Connections are closed this long before the process ends, for requests that are already under way.
 constexpr milliseconds last_requests_time{500};
-/// The connections of a stopping process are out of use this long before they are closed.
-constexpr milliseconds reuse_margin{1'000};
 constexpr milliseconds stop_poll{50};
 /// Longest time that a log line waits to be written.
 constexpr milliseconds log_period{500};
@@ -75,16 +76,14 @@
     return error == std::errc() && end == text.data() + text.size() ? version : 0;
 }
 
-/// `stop_time` is the time from the request to stop until the process is killed.
-http::server_limits limits_of(const deployment::caller_limits& limits, milliseconds stop_time)
+http::server_limits limits_of(const deployment::caller_limits& limits)
 {
     http::server_limits result;
     result.header_bytes = limits.header_bytes;
     result.body_bytes = limits.body_bytes;
     result.request_timeout = limits.header_timeout;
     result.idle_timeout = limits.idle_timeout;
-    // What callers are told of a connection must not outlast the stop of this process.
-    result.reuse_time = stop_time - stop_margin - last_requests_time - reuse_margin;
+    result.reuse_time = reuse_time;
     result.connections = most_connections;
     return result;
 }
@@ -110,7 +109,7 @@
           m_peers(m_context, m_settings, m_state, m_start),
           m_watch(m_context, m_store, m_client, m_state, m_peers, [this] { apply_limits(); }),
           m_duties(m_context, m_settings, m_store, m_duty_client, m_state, m_peers, m_start),
-          m_callers(m_context, to_address(m_settings.callers), limits_of({}, m_settings.bounds.stop_time),
+          m_callers(m_context, to_address(m_settings.callers), limits_of({}),
                     [this](http::request message, http::response_writer& writer) {
                         return m_runner.handle(std::move(message), writer);
                     }),
@@ -198,17 +197,15 @@
         m_duties.stop();
         m_state.begin_stop({started + drain_time, end});
         m_callers.begin_drain();
-        asio::steady_timer timer(m_context, drain_time);
+        asio::steady_timer timer(m_context, std::min(drain_time, m_settings.bounds.stop_time - stop_margin));
         co_await timer.async_wait(use_tuple);
-        // Callers go on using the connections that they have: each use ends one of them.
-        while (m_callers.open_connections() > 0 &&
-               std::chrono::steady_clock::now() < end - last_requests_time) {
-            m_callers.close_unused();
-            timer.expires_after(stop_poll);
-            co_await timer.async_wait(use_tuple);
-        }
         m_callers.stop_accepting();
+        // Callers go on using the connections that they have: each use ends one of them.
         while (m_callers.open_connections() > 0 && std::chrono::steady_clock::now() < end) {
+            if (std::chrono::steady_clock::now() < end - last_requests_time)
+                m_callers.close_unused();
+            else
+                m_callers.close_idle();
             timer.expires_after(stop_poll);
             co_await timer.async_wait(use_tuple);
         }
@@ -219,8 +216,7 @@
 
     void apply_limits()
     {
-        m_callers.set_limits(
-            limits_of(m_state.configuration()->content().limits, m_settings.bounds.stop_time));
+        m_callers.set_limits(limits_of(m_state.configuration()->content().limits));
         if (!std::exchange(m_was_ready, true))
             log_event(event::process_ready,
                       {{"configuration", std::to_string(m_state.configuration()->version())}});
