Forwarding: Take no response that may belong to an earlier request

Callers would be told 503 or 421, "not run", for a request that an endpoint had run or was running, or such a request would run at a second endpoint, or a caller would get the answer to another request.

Cause: an endpoint's late second copy of a response or refusal, sent after the check of the kept connection, was rejected only if it carried another id. One without an id was believed. One with two ids was taken for the last of them. A part of a refusal, cut in the middle of a header line, joined with the next response to one header with the refusal's status and fields and the request's own id.

Change: a response without an id is taken only on a connection that carried no earlier request, after the request was written out; else the attempt counts as one that may have run. On other connections a header that contains a second status line is rejected. Contradicting ids belong to no request.

--- a/Libraries/forwarding/include/siskinwharf/forwarding/call.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/call.h
@@ -34,9 +34,10 @@
 
 /// Values decoded from the headers of an endpoint's response.
 struct response_metadata {
-    bool is_not_run = false;      ///< The endpoint reports that the request did not run and will not run.
-    bool is_signed = false;       ///< The response was produced by the endpoint itself.
-    std::optional<request_id> id; ///< Request that the response belongs to.
+    bool is_not_run = false; ///< The endpoint reports that the request did not run and will not run.
+    bool is_signed = false;  ///< The response was produced by the endpoint itself.
+    /// Request that the response belongs to. Empty, which no request is, if it names several requests.
+    std::optional<request_id> id;
     /// Requests a second that the endpoint takes from all processes together, for as long as it says so.
     std::optional<double> requests_per_second;
 };
--- a/Libraries/forwarding/src/forwarded_request_relay.cpp
+++ b/Libraries/forwarding/src/forwarded_request_relay.cpp
@@ -38,6 +38,10 @@
     const auto facts = m_codec.inspect(status, answer.headers());
     if (facts.id && *facts.id != m_call.id)
         throw http::call_error(http::call_stage::after_header, "the response belongs to another request");
+    // The response to an earlier request, sent again, may lack the id too.
+    if (!facts.id && answer.may_answer_earlier_request())
+        throw http::call_error(http::call_stage::after_header,
+                               "the response names no request and its connection was used before");
     if (facts.is_signed || facts.is_not_run)
         m_state.observe_limit(endpoint, facts.requests_per_second, std::chrono::steady_clock::now());
     if (facts.is_not_run)
--- a/Libraries/forwarding/tests/forwarding_fixture.h
+++ b/Libraries/forwarding/tests/forwarding_fixture.h
@@ -47,15 +47,16 @@
         return result;
     }
 
-    [[nodiscard]] response_metadata inspect(int /*status*/,
+    [[nodiscard]] response_metadata inspect(int status,
                                             const std::vector<http::header_field>& headers) const override
     {
         response_metadata facts;
+        facts.is_not_run = status == 421;
         for (const auto& [name, value] : headers) {
             facts.is_not_run = facts.is_not_run || name == "Not-Run";
             facts.is_signed = facts.is_signed || name == "Signed";
             if (name == "Id")
-                facts.id = request_id(value);
+                facts.id = facts.id && facts.id->value() != value ? request_id() : request_id(value);
             if (name == "Limit")
                 facts.requests_per_second = std::stod(value);
         }
@@ -160,7 +161,8 @@
     }
 
     /// Sends one request and returns all received bytes up to the end of the connection.
-    std::string ask(const std::string& path, const std::string& key = "k", const std::string& parts = "")
+    std::string ask(const std::string& path, const std::string& key = "k", const std::string& parts = "",
+                    const std::string& id = "7")
     {
         std::string received;
         asio::co_spawn(
@@ -170,8 +172,9 @@
                 asio::ip::tcp::socket socket(context);
                 const asio::ip::tcp::endpoint target(asio::ip::make_address("127.0.0.1"), server.port());
                 co_await socket.async_connect(target, use_tuple);
-                const std::string request = "GET " + path + " HTTP/1.1\r\nHost: a\r\nId: 7\r\nKey: " + key +
-                                            "\r\nParts: " + parts + "\r\nConnection: close\r\n\r\n";
+                const std::string request = "GET " + path + " HTTP/1.1\r\nHost: a\r\nId: " + id +
+                                            "\r\nKey: " + key + "\r\nParts: " + parts +
+                                            "\r\nConnection: close\r\n\r\n";
                 co_await asio::async_write(socket, asio::buffer(request), use_tuple);
                 auto buffer = asio::dynamic_buffer(received);
                 co_await asio::async_read(socket, buffer, use_tuple);
--- a/Libraries/http/include/siskinwharf/http/client.h
+++ b/Libraries/http/include/siskinwharf/http/client.h
@@ -46,6 +46,9 @@
 
     [[nodiscard]] virtual int status() const = 0;
     [[nodiscard]] virtual std::vector<header_field> headers() const = 0;
+    /// Whether the connection alone does not prove that this is the response to the request: the connection
+    /// carried an earlier request, or the header arrived before the request was written out.
+    [[nodiscard]] virtual bool may_answer_earlier_request() const = 0;
     /// Returns what has arrived of the body, without its transfer coding, or an empty string at its end.
     /// Throws `call_error` if the body ends early or nothing arrives in time.
     virtual boost::asio::awaitable<std::string> next_part(milliseconds timeout) = 0;
--- a/Libraries/http/src/part_stream.cpp
+++ b/Libraries/http/src/part_stream.cpp
@@ -34,6 +34,31 @@
     return milliseconds(count * 1'000);
 }
 
+/// Whether the text contains the start of a status line, such as `HTTP/1.1 200`.
+bool contains_status_line(std::string_view text)
+{
+    constexpr std::string_view protocol = "HTTP/1.";
+    constexpr std::string_view status_pattern = "0 000";
+    const auto fits = [](char pattern, char found) {
+        return pattern == '0' ? found >= '0' && found <= '9' : found == pattern;
+    };
+    for (auto at = text.find(protocol); at != std::string_view::npos; at = text.find(protocol, at + 1)) {
+        const auto rest = text.substr(at + protocol.size(), status_pattern.size());
+        if (rest.size() == status_pattern.size() && std::ranges::equal(status_pattern, rest, fits))
+            return true;
+    }
+    return false;
+}
+
+/// A part of an earlier header, up to the middle of a line, and the whole header of the next response parse
+/// as one header. It has the status of the one and the fields of both.
+template<typename Header>
+bool is_joined(const Header& header)
+{
+    return contains_status_line(header.reason()) ||
+           std::ranges::any_of(header, [](const auto& field) { return contains_status_line(field.value()); });
+}
+
 /// A request that is being written while its response may already arrive.
 struct outgoing_request {
     string_request message;
@@ -50,7 +75,8 @@
           m_target(std::move(target)),
           m_sent(std::move(sent)),
           m_control(std::move(control)),
-          m_block(part_bytes)
+          m_block(part_bytes),
+          m_may_answer_earlier_request(m_sent->connection->reused)
     {
         m_parser.body_limit(boost::none);
     }
@@ -77,6 +103,8 @@
         return result;
     }
 
+    [[nodiscard]] bool may_answer_earlier_request() const override { return m_may_answer_earlier_request; }
+
     asio::awaitable<void> read_header(milliseconds timeout)
     {
         auto& used = *m_sent->connection;
@@ -86,6 +114,9 @@
         if (error)
             throw call_error(call_stage::after_send, "no response: " + error.message(),
                              error == beast::error::timeout);
+        m_may_answer_earlier_request = m_may_answer_earlier_request || !m_sent->is_written;
+        if (m_may_answer_earlier_request && is_joined(m_parser.get()))
+            throw call_error(call_stage::after_send, "the response header contains a second status line");
         // The request asks for none, so a server could send interim responses without end.
         if (m_parser.get().result_int() < first_final_status)
             throw call_error(call_stage::after_send, "unexpected interim response");
@@ -142,6 +173,7 @@
     std::shared_ptr<call_control> m_control;
     beast::http::response_parser<beast::http::buffer_body> m_parser;
     std::vector<char> m_block;
+    bool m_may_answer_earlier_request;
 };
 
 /// Writes the request beside the reading of its response. The connection outlives the writer through `sent`.
