Http: Fail a new connection that is readable before its request

A refusal that a server writes on a new connection before it has the request would be taken for the response to that request, which might run afterwards. A connection that was closed or reset before the first byte would count as a request that may have run.

Cause: only kept connections were checked for waiting bytes.

Change: a new connection is checked in the same way, and the call fails with `before_send`.

"bytes that arrive on a new connection before its request are not taken for its response" fails in 2 assertions without the check and passes with it.

--- a/Libraries/http/src/connection_pool.cpp
+++ b/Libraries/http/src/connection_pool.cpp
@@ -13,12 +13,10 @@
 /// Kept idle connections for each address.
 constexpr std::size_t kept_connections = 64;
 
-/// An idle connection that is readable was closed by the other side, or carries bytes nobody asked for.
-bool is_usable(pooled_connection& candidate)
+/// A connection that is readable before its request was closed by the other side, or carries bytes that
+/// nobody asked for.
+bool is_silent(tcp::socket& socket)
 {
-    auto& socket = candidate.stream.socket();
-    if (candidate.buffer.size() != 0 || std::chrono::steady_clock::now() >= candidate.usable_until)
-        return false;
     boost::system::error_code error;
     socket.non_blocking(true, error);
     char byte = 0;
@@ -26,6 +24,13 @@
     return error == asio::error::would_block;
 }
 
+bool is_usable(pooled_connection& candidate)
+{
+    if (candidate.buffer.size() != 0 || std::chrono::steady_clock::now() >= candidate.usable_until)
+        return false;
+    return is_silent(candidate.stream.socket());
+}
+
 /// A connection whose other side is cut off, or that goes silent for good, fails within about three seconds.
 /// Without this a call that waits for changes would hang for its whole time while the list of endpoints grows
 /// old.
@@ -74,6 +79,8 @@
     fresh->stream.socket().set_option(tcp::no_delay(true), ignored);
     detect_silence(fresh->stream.socket());
     ++m_opened;
+    if (!is_silent(fresh->stream.socket()))
+        throw call_error(call_stage::before_send, "the connection was readable before the request");
     co_return fresh;
 }
 
