Forwarding: Pass on only what continues a stream that broke off

Callers would find the text of an error in the middle of their stream, or the stream would end as complete before its last event, or an event would come twice.

Cause: whatever a next endpoint sent with a signature and a 2xx status was taken for the rest of the stream: a text, JSON, an empty body, a 204, events without ids. A stream whose events carry no ids was started again from its beginning. One that started again and ended before the event where it had broken off completed the stream. (Error statuses were rejected before.)

Change: a response continues a stream only with the status, media type and encoding with which the stream began. Its events need ids that can be compared with the last one; the attempt ends at the first without, after the events before it have been passed on. The stream is not complete if the response ends behind the last event, or with its connection and without a new event. A stream whose last event has no id is not resumed.

--- a/Libraries/forwarding/src/event_splitter.cpp
+++ b/Libraries/forwarding/src/event_splitter.cpp
@@ -53,12 +53,22 @@
 
 bool event_splitter::accept(std::string_view event)
 {
-    const auto id = id_of(event);
-    if (!id)
+    if (m_is_out_of_place)
+        return false;
+    if (is_empty(event))
         return true;
-    const auto number = number_of(*id);
+    const auto id = id_of(event);
+    const auto number = id ? number_of(*id) : std::nullopt;
+    if (m_is_resumed && (!id || (m_last_number && !number))) {
+        m_is_out_of_place = true;
+        return false;
+    }
+    m_position = number;
     if (number && m_last_number && *number <= *m_last_number)
         return false;
+    m_last_has_id = id.has_value();
+    if (!id)
+        return true;
     if (number)
         m_last_number = number;
     m_last_id = std::string(*id);
--- a/Libraries/forwarding/src/event_splitter.h
+++ b/Libraries/forwarding/src/event_splitter.h
@@ -20,20 +20,40 @@
     /// Whether an incomplete event is buffered.
     [[nodiscard]] bool has_partial_event() const { return !m_pending.empty(); }
     /// Discards an incomplete event before the stream is resumed.
-    void drop_partial_event() { m_pending.clear(); }
+    void drop_partial_event()
+    {
+        m_pending.clear();
+        m_is_resumed = m_events > 0;
+        m_is_out_of_place = false;
+        m_position.reset();
+    }
+    /// Whether another endpoint can go on after the last event: it has an id, or there is none yet.
+    [[nodiscard]] bool can_resume() const { return m_events == 0 || m_last_has_id; }
+    /// Whether the resumed stream sent an event whose place after the last one is not known.
+    [[nodiscard]] bool is_out_of_place() const { return m_is_out_of_place; }
+    /// Whether the resumed stream started again and has not come back to the last event.
+    [[nodiscard]] bool is_behind() const
+    {
+        return m_position && m_last_number && *m_position < *m_last_number;
+    }
     /// Id of the last complete event.
     [[nodiscard]] const std::optional<std::string>& last_id() const { return m_last_id; }
     /// Number of complete events returned, without those that consist of comments.
     [[nodiscard]] std::uint64_t events() const { return m_events; }
 
 private:
-    /// Returns false for a duplicate: an event whose numeric id is not above the last one.
+    /// Returns false for a duplicate, which is an event whose numeric id is not above the last one, and for
+    /// one without a known place.
     [[nodiscard]] bool accept(std::string_view event);
 
     std::string m_pending;
     std::optional<std::string> m_last_id;
     std::optional<std::uint64_t> m_last_number;
+    std::optional<std::uint64_t> m_position; ///< Number of the last event of the present response.
     std::uint64_t m_events = 0;
+    bool m_is_resumed = false;
+    bool m_last_has_id = false; ///< Applies to the last event that was returned.
+    bool m_is_out_of_place = false;
 };
 
 } // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -291,7 +291,7 @@
 bool forwarded_request::is_repeatable() const
 {
     if (m_route->kind == deployment::request_kind::stream)
-        return m_route->is_resumable;
+        return m_route->is_resumable && m_events.can_resume();
     return m_route->kind == deployment::request_kind::idempotent;
 }
 
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -31,6 +31,15 @@
 
 [[nodiscard]] std::string_view to_string(attempt_end end);
 
+/// What the responses of all endpoints that contribute to one stream have in common.
+struct stream_format {
+    int status = 0;
+    std::string media_type; ///< In lower case, without parameters. Empty if the response does not say it.
+    std::string encoding;
+
+    bool operator==(const stream_format&) const = default;
+};
+
 /// Handles one caller's request from its arrival to the end of the response.
 class forwarded_request {
 public:
@@ -76,6 +85,10 @@
     boost::asio::awaitable<body_end> read_body(http::part_stream& answer, http::response& whole);
     boost::asio::awaitable<attempt_end> relay_event_stream(http::part_stream& answer,
                                                            dispatch::attempt_ticket& ticket);
+    /// Throws `http::call_error` if the caller has part of a stream and the response does not continue it.
+    void check_continuation(const http::part_stream& answer) const;
+    /// Throws `http::call_error` if the response has ended and the stream has not.
+    void check_stream_end(const http::part_stream& answer, bool has_event) const;
     boost::asio::awaitable<void> forward_events(http::part_stream& answer, std::string events);
     /// Whether another attempt may follow a failed one. Takes a retry from the budget where one is needed.
     [[nodiscard]] bool may_retry(attempt_end end);
@@ -124,6 +137,8 @@
     std::optional<http::response> m_failure_answer;
     std::shared_ptr<http::call_control> m_control;
     event_splitter m_events;
+    /// Format of the stream of which the caller has received the beginning.
+    std::optional<stream_format> m_stream_format;
 };
 
 } // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/src/forwarded_request_relay.cpp
+++ b/Libraries/forwarding/src/forwarded_request_relay.cpp
@@ -1,5 +1,7 @@
 // The part of forwarded_request that passes the response of an endpoint on to the caller.
 
+#include <cctype>
+
 #include <fmt/format.h>
 
 #include "forwarded_request.h"
@@ -28,6 +30,22 @@
     return status >= first_success && status < first_redirect;
 }
 
+stream_format format_of(const http::part_stream& answer)
+{
+    stream_format format;
+    format.status = answer.status();
+    for (const auto& [name, value] : answer.headers()) {
+        if (http::equal_ignoring_case(name, "Content-Encoding"))
+            format.encoding = value;
+        if (!http::equal_ignoring_case(name, "Content-Type"))
+            continue;
+        format.media_type = value.substr(0, value.find_first_of("; \t"));
+        for (auto& letter : format.media_type)
+            letter = static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+    }
+    return format;
+}
+
 } // namespace
 
 asio::awaitable<attempt_end> forwarded_request::receive(const dispatch::endpoint_record& endpoint,
@@ -116,14 +134,37 @@
 
 asio::awaitable<void> forwarded_request::forward_events(http::part_stream& answer, std::string events)
 {
-    if (!m_writer.started())
+    if (!m_writer.started()) {
+        m_stream_format = format_of(answer);
         co_await m_writer.begin(answer.status(), m_codec.forwarded(answer.headers()));
+    }
     co_await m_writer.write(std::move(events));
 }
 
+void forwarded_request::check_continuation(const http::part_stream& answer) const
+{
+    if (m_writer.started() && m_stream_format != format_of(answer))
+        throw http::call_error(http::call_stage::after_header,
+                               "the endpoint sent another kind of response instead of resuming the stream");
+}
+
+void forwarded_request::check_stream_end(const http::part_stream& answer, bool has_event) const
+{
+    if (m_events.has_partial_event())
+        throw http::call_error(http::call_stage::after_header, "the stream ended within an event");
+    if (m_events.is_behind())
+        throw http::call_error(http::call_stage::after_header,
+                               "the stream started again and ended before its last event");
+    if (m_writer.started() && !has_event && answer.ends_with_connection())
+        throw http::call_error(http::call_stage::after_header,
+                               "the connection ended without an event of the resumed stream");
+}
+
 asio::awaitable<attempt_end> forwarded_request::relay_event_stream(http::part_stream& answer,
                                                                    dispatch::attempt_ticket& ticket)
 {
+    check_continuation(answer);
+    const auto events_at_start = m_events.events();
     bool has_event = false;
     auto last_event = std::chrono::steady_clock::now();
     while (true) {
@@ -145,14 +186,16 @@
         auto events = m_events.add(part);
         if (m_events.is_event_too_large())
             throw http::call_error(http::call_stage::after_header, "an event is too large");
-        if (events.empty())
-            continue;
-        co_await forward_events(answer, std::move(events));
+        if (!events.empty())
+            co_await forward_events(answer, std::move(events));
+        // The events before it are known as delivered and must be so.
+        if (m_events.is_out_of_place())
+            throw http::call_error(http::call_stage::after_header,
+                                   "the resumed stream sent an event without a place");
         if (m_events.events() > events_before)
             last_event = std::chrono::steady_clock::now();
     }
-    if (m_events.has_partial_event())
-        throw http::call_error(http::call_stage::after_header, "the stream ended within an event");
+    check_stream_end(answer, m_events.events() > events_at_start);
     if (m_events.events() > 0)
         count_answer();
     if (!m_writer.started())
--- a/Libraries/forwarding/tests/event_splitter_test.cpp
+++ b/Libraries/forwarding/tests/event_splitter_test.cpp
@@ -24,4 +24,16 @@
     CHECK(events.last_id() == "10");
 }
 
+TEST_CASE("a stream that starts again is behind until it is back at the last event")
+{
+    event_splitter events;
+    CHECK(events.add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") != "");
+    events.drop_partial_event();
+    CHECK_FALSE(events.is_behind());
+    CHECK(events.add("id: 1\ndata: a\n\n") == "");
+    CHECK(events.is_behind());
+    CHECK(events.add("id: 2\ndata: b\n\n") == "");
+    CHECK_FALSE(events.is_behind());
+}
+
 } // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/tests/kept_endpoint.h
+++ b/Libraries/forwarding/tests/kept_endpoint.h
@@ -91,8 +91,11 @@
                 }
                 co_await boost::asio::async_write(socket, boost::asio::buffer(step.bytes), use_tuple);
             }
-            if (script.end == connection_end::reset)
+            if (script.end == connection_end::reset) {
+                // The destructor would close the socket in order.
                 socket.set_option(boost::asio::socket_base::linger(true, 0));
+                socket.close();
+            }
             if (script.end != connection_end::kept)
                 co_return;
         }
--- a/Libraries/http/include/siskinwharf/http/client.h
+++ b/Libraries/http/include/siskinwharf/http/client.h
@@ -49,6 +49,8 @@
     /// Whether the connection alone does not prove that this is the response to the request: the connection
     /// carried an earlier request, or the header arrived before the request was written out.
     [[nodiscard]] virtual bool may_answer_earlier_request() const = 0;
+    /// Whether only the end of the connection ends the body.
+    [[nodiscard]] virtual bool ends_with_connection() const = 0;
     /// Returns what has arrived of the body, without its transfer coding, or an empty string at its end.
     /// Throws `call_error` if the body ends early or nothing arrives in time.
     virtual boost::asio::awaitable<std::string> next_part(milliseconds timeout) = 0;
--- a/Libraries/http/src/part_stream.cpp
+++ b/Libraries/http/src/part_stream.cpp
@@ -105,6 +105,8 @@
 
     [[nodiscard]] bool may_answer_earlier_request() const override { return m_may_answer_earlier_request; }
 
+    [[nodiscard]] bool ends_with_connection() const override { return m_ends_with_connection; }
+
     asio::awaitable<void> read_header(milliseconds timeout)
     {
         auto& used = *m_sent->connection;
@@ -120,6 +122,7 @@
         // The request asks for none, so a server could send interim responses without end.
         if (m_parser.get().result_int() < first_final_status)
             throw call_error(call_stage::after_send, "unexpected interim response");
+        m_ends_with_connection = m_parser.need_eof();
         if (m_parser.is_done())
             finish();
     }
@@ -174,6 +177,7 @@
     beast::http::response_parser<beast::http::buffer_body> m_parser;
     std::vector<char> m_block;
     bool m_may_answer_earlier_request;
+    bool m_ends_with_connection = false;
 };
 
 /// Writes the request beside the reading of its response. The connection outlives the writer through `sent`.
