Dispatch: Send nothing to endpoints that leave or name a pause

Callers' requests went to endpoints that had said `Server-Leaving: 1` until the platform's list said so too, and to endpoints that had refused with 503 and `Retry-After`: no file read either header, and a refusal of all endpoints named a retry delay of 150 or 700 ms, whatever they had asked for.

`platform/` decodes limit, leaving and pause once into one typed value (`endpoint_statement`). `endpoint_constraints`, which was `endpoint_limits`, keeps all three in one entry for each incarnation. Leaving ends only with another incarnation, or another endpoint at the address; the last pause holds, at most an hour, and is lengthened by up to 0.5 s, different for each process and endpoint. Placement passes over both, so repeats, resumed streams and trials of a limit do too; the check for a crash waits for the end of a pause. If no endpoint is left, the refusal names the least wait, spread by the request's id, within a third of the remaining time; that now also holds for limits. Events 413, 414 and 415 say when this begins and ends; malformed values are ignored and counted.

The tests of limits call `observe_limit` of the renamed class and keep all their checks.

Peers are not told, and the product's own interface does not use it yet.

--- a/Libraries/base/include/siskinwharf/base/event.h
+++ b/Libraries/base/include/siskinwharf/base/event.h
@@ -112,6 +112,13 @@
 inline constexpr event_kind endpoint_limited{
     412, event_level::info, "endpoint_limited",
     "An endpoint names the requests a second that it takes, or names none any more."};
+inline constexpr event_kind endpoint_leaving_stated{413, event_level::info, "endpoint_leaving_stated",
+                                                    "An endpoint said in a response that it is leaving."};
+inline constexpr event_kind endpoint_paused{414, event_level::info, "endpoint_paused",
+                                            "An endpoint takes no requests of this process for some time."};
+inline constexpr event_kind endpoint_constraint_ended{
+    415, event_level::info, "endpoint_constraint_ended",
+    "What an endpoint said of leaving or of a pause holds no more."};
 
 inline constexpr event_kind platform_unavailable{500, event_level::warning, "platform_unavailable",
                                                  "A platform service does not answer."};
@@ -175,6 +182,9 @@
     endpoint_gone,
     endpoint_entry_ignored,
     endpoint_limited,
+    endpoint_leaving_stated,
+    endpoint_paused,
+    endpoint_constraint_ended,
     platform_unavailable,
     platform_available,
     lease_acquired,
--- a/Libraries/dispatch/include/siskinwharf/dispatch/load_balancer.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/load_balancer.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "siskinwharf/deployment/snapshot.h"
-#include "siskinwharf/dispatch/endpoint_limits.h"
+#include "siskinwharf/dispatch/endpoint_constraints.h"
 #include "siskinwharf/dispatch/endpoint_state.h"
 
 namespace siskinwharf::dispatch {
@@ -33,7 +33,7 @@
 enum class refusal_reason {
     no_endpoint, ///< The service has no available endpoint.
     overloaded,  ///< The expected latency exceeds the latency target.
-    limited,     ///< All available endpoints get as many requests as they take.
+    limited,     ///< No available endpoint takes more requests now: all named a limit or a pause.
 };
 
 [[nodiscard]] std::string_view to_string(refusal_reason reason);
@@ -74,7 +74,7 @@
 class load_balancer {
 public:
     explicit load_balancer(load_balancer_settings settings)
-        : m_settings(std::move(settings)), m_limits({m_settings.process, m_settings.domain})
+        : m_settings(std::move(settings)), m_constraints({m_settings.process, m_settings.domain})
     {
     }
 
@@ -104,8 +104,8 @@
     /// Removes the request from the load of the endpoint and updates the failure rate and the backoff.
     void finish(attempt_ticket& ticket, attempt_result result, monotonic_time now);
 
-    [[nodiscard]] endpoint_limits& limits() { return m_limits; }
-    [[nodiscard]] const endpoint_limits& limits() const { return m_limits; }
+    [[nodiscard]] endpoint_constraints& constraints() { return m_constraints; }
+    [[nodiscard]] const endpoint_constraints& constraints() const { return m_constraints; }
     /// Merges what a peer said of limits. Returns what is news.
     std::vector<endpoint_limit> merge_limits(const std::vector<endpoint_limit>& limits, monotonic_time now);
     /// Prompt tokens per millisecond that an engine of this service computes when there is little contention.
@@ -138,8 +138,9 @@
         double lowest_failure_rate = 1; ///< Lowest failure rate among `endpoints`.
         /// Endpoint of this failure domain selected by a hash of the shared prompt prefix, or null.
         const endpoint_state* preferred = nullptr;
-        /// Shortest wait for an endpoint that gets as many requests as it takes; 0: there is none.
-        milliseconds limit_wait{0};
+        /// Shortest wait for an endpoint that takes no request now; `never`: there is none.
+        milliseconds constraint_wait = endpoint_constraints::never;
+        bool has_tried = false; ///< An endpoint that takes requests was left out because it was tried.
     };
     /// Collects the endpoints of a service except those in `tried`. An endpoint in backoff is used only if
     /// there is no other.
@@ -166,7 +167,7 @@
     /// Waiting tokens that were last published to peers; 0 if absent.
     std::map<endpoint_id, std::uint64_t> m_published_tokens;
     std::function<void()> m_on_changed_load;
-    endpoint_limits m_limits;
+    endpoint_constraints m_constraints;
 };
 
 } // namespace siskinwharf::dispatch
--- a/Libraries/dispatch/src/load_balancer.cpp
+++ b/Libraries/dispatch/src/load_balancer.cpp
@@ -88,7 +88,7 @@
         state.id_hash = hash64(record.id.value());
     }
     m_endpoints = std::move(next);
-    m_limits.retain(endpoints);
+    m_constraints.retain(endpoints);
     for (const auto& record : endpoints)
         m_by_service[record.service].push_back(&m_endpoints.at(record.id));
 }
@@ -99,7 +99,7 @@
     std::vector<endpoint_limit> news;
     for (const auto& limit : limits) {
         const auto* state = find(limit.endpoint);
-        if (state != nullptr && m_limits.merge(state->record, limit, now))
+        if (state != nullptr && m_constraints.merge(state->record, limit, now))
             news.push_back(limit);
     }
     return news;
@@ -219,10 +219,14 @@
     const auto key = last_shared_part_id(work);
     result.endpoints.reserve(listed->second.size());
     for (const auto* state : listed->second) {
-        if (state->record.is_leaving || std::ranges::find(tried, state->record.id) != tried.end())
+        if (state->record.is_leaving)
             continue;
-        if (const auto wait = m_limits.wait(state->record, now); wait.count() > 0) {
-            result.limit_wait = result.limit_wait.count() == 0 ? wait : std::min(result.limit_wait, wait);
+        if (const auto wait = m_constraints.wait(state->record, now); wait.count() > 0) {
+            result.constraint_wait = std::min(result.constraint_wait, wait);
+            continue;
+        }
+        if (std::ranges::find(tried, state->record.id) != tried.end()) {
+            result.has_tried = true;
             continue;
         }
         if (state->backoff_until > now) {
@@ -250,10 +254,13 @@
                                         monotonic_time now) const
 {
     const auto candidates = find_candidates(wanted.id, work, tried, now);
-    if (candidates.endpoints.empty() && candidates.limit_wait.count() > 0)
-        return placement_refusal{refusal_reason::limited,
-                                 std::clamp(candidates.limit_wait, minimum_retry_after, maximum_retry_after),
+    if (candidates.endpoints.empty() && candidates.constraint_wait != endpoint_constraints::never) {
+        const auto wait = candidates.has_tried
+                              ? std::min(candidates.constraint_wait, retry_after_without_endpoint)
+                              : candidates.constraint_wait;
+        return placement_refusal{refusal_reason::limited, std::max(wait, minimum_retry_after),
                                  milliseconds(0)};
+    }
     if (candidates.endpoints.empty())
         return placement_refusal{refusal_reason::no_endpoint, retry_after_without_endpoint, milliseconds(0)};
 
@@ -311,7 +318,7 @@
     ticket.tokens_ahead = state.waiting_tokens + state.peers_waiting_tokens;
     ticket.running_before = state.running + state.peers_running;
     ticket.reserved_tokens = work.prompt_tokens + work.answer_tokens;
-    m_limits.on_sent(state.record, now);
+    m_constraints.on_sent(state.record, now);
     ++state.running;
     state.waiting_tokens += ticket.prefill_tokens;
     state.reserved_tokens += ticket.reserved_tokens;
--- a/Libraries/dispatch/tests/endpoint_limits_test.cpp
+++ b/Libraries/dispatch/tests/endpoint_limits_test.cpp
@@ -5,7 +5,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "siskinwharf/dispatch/endpoint_limits.h"
+#include "siskinwharf/dispatch/endpoint_constraints.h"
 
 namespace siskinwharf::dispatch {
 
@@ -32,9 +32,9 @@
 }
 
 /// Processes that all know of each other.
-std::deque<endpoint_limits> make_deployment(const std::vector<sending_process>& processes)
+std::deque<endpoint_constraints> make_deployment(const std::vector<sending_process>& processes)
 {
-    std::deque<endpoint_limits> result;
+    std::deque<endpoint_constraints> result;
     for (const auto& process : processes) {
         auto peers = processes;
         std::erase(peers, process);
@@ -44,7 +44,7 @@
 }
 
 /// Sends whatever is allowed for some seconds and returns the largest number of requests within 4 s.
-std::size_t busiest_window(std::deque<endpoint_limits>& deployment, const endpoint_record& endpoint)
+std::size_t busiest_window(std::deque<endpoint_constraints>& deployment, const endpoint_record& endpoint)
 {
     std::vector<monotonic_time> sent;
     for (auto now = start; now < start + seconds(20); now += milliseconds(10)) {
@@ -77,7 +77,7 @@
     const auto endpoint = make_endpoint("i-1", "domain-1");
     auto deployment = make_deployment(make_processes(6, in_each));
     for (auto& process : deployment)
-        process.observe(endpoint, limit, start);
+        process.observe_limit(endpoint, limit, start);
     const auto most = busiest_window(deployment, endpoint);
     CAPTURE(limit, in_each);
     CHECK(static_cast<double>(most) <= allowed(limit));
@@ -96,7 +96,7 @@
     deployment[0].set_processes(others);
     deployment[3].set_processes(others);
     for (auto& process : deployment)
-        process.observe(endpoint, 2.0, start);
+        process.observe_limit(endpoint, 2.0, start);
     CHECK(static_cast<double>(busiest_window(deployment, endpoint)) <= allowed(2.0));
 }
 
@@ -105,7 +105,7 @@
     const auto endpoint = make_endpoint("i-1", "elsewhere");
     auto deployment = make_deployment(make_processes(3, 4));
     for (auto& process : deployment)
-        process.observe(endpoint, 2.0, start);
+        process.observe_limit(endpoint, 2.0, start);
     const auto most = busiest_window(deployment, endpoint);
     CHECK(static_cast<double>(most) <= allowed(2.0));
     CHECK(most >= 4);
@@ -115,8 +115,8 @@
 {
     const auto endpoint = make_endpoint("i-1", "domain-0");
     auto deployment = make_deployment(make_processes(1, 3));
-    CHECK(deployment[0].observe(endpoint, 1.0, start));
-    CHECK_FALSE(deployment[0].observe(endpoint, 1.0, start));
+    CHECK(deployment[0].observe_limit(endpoint, 1.0, start));
+    CHECK_FALSE(deployment[0].observe_limit(endpoint, 1.0, start));
     const auto told = deployment[0].announcements(start + milliseconds(200));
     REQUIRE(told.size() == 1);
     CHECK(deployment[1].merge(endpoint, told[0], start + milliseconds(200)));
@@ -130,16 +130,16 @@
     const auto endpoint = make_endpoint("i-1", "domain-0");
     auto deployment = make_deployment(make_processes(1, 2));
     for (auto& process : deployment)
-        process.observe(endpoint, 0.5, start);
+        process.observe_limit(endpoint, 0.5, start);
     const auto later = start + seconds(8);
-    CHECK(deployment[0].observe(endpoint, std::nullopt, later));
+    CHECK(deployment[0].observe_limit(endpoint, std::nullopt, later));
     CHECK(deployment[0].wait(endpoint, later).count() == 0);
     const auto told = deployment[0].announcements(later);
     REQUIRE(told.size() == 1);
     CHECK(deployment[1].merge(endpoint, told[0], later));
     CHECK(deployment[1].wait(endpoint, later).count() == 0);
     // What is older than the process's own response changes nothing.
-    deployment[1].observe(endpoint, 0.5, later + seconds(1));
+    deployment[1].observe_limit(endpoint, 0.5, later + seconds(1));
     CHECK_FALSE(
         deployment[1].merge(endpoint, {endpoint.id, 1, std::nullopt, seconds(2)}, later + seconds(1)));
     CHECK(deployment[1].wait(endpoint, later + seconds(1)).count() > 0);
@@ -150,11 +150,11 @@
     const auto endpoint = make_endpoint("i-1", "domain-0");
     auto deployment = make_deployment(make_processes(2, 1));
     for (auto& process : deployment)
-        process.observe(endpoint, 1.0, start);
+        process.observe_limit(endpoint, 1.0, start);
     REQUIRE(deployment[1].wait(endpoint, start).count() > 0);
     for (int second = 1; second <= 200; ++second) {
         const auto now = start + seconds(second);
-        deployment[0].observe(endpoint, 1.0, now);
+        deployment[0].observe_limit(endpoint, 1.0, now);
         for (const auto& told : deployment[0].announcements(now))
             deployment[1].merge(endpoint, told, now);
         CHECK(deployment[1].wait(endpoint, now).count() > 0);
@@ -165,7 +165,7 @@
 {
     const auto endpoint = make_endpoint("i-1", "domain-0");
     auto deployment = make_deployment(make_processes(2, 1));
-    deployment[1].observe(endpoint, 1.0, start);
+    deployment[1].observe_limit(endpoint, 1.0, start);
     const auto later = start + seconds(61);
     CHECK(deployment[1].wait(endpoint, later).count() == 0);
     deployment[1].on_sent(endpoint, later);
@@ -176,7 +176,7 @@
 {
     auto endpoint = make_endpoint("i-1", "domain-0");
     auto deployment = make_deployment(make_processes(1, 2));
-    deployment[0].observe(endpoint, 0.5, start);
+    deployment[0].observe_limit(endpoint, 0.5, start);
     const auto told = deployment[0].announcements(start);
     endpoint.started_ms = 2;
     CHECK(deployment[0].wait(endpoint, start).count() == 0);
@@ -189,7 +189,7 @@
     const auto endpoint = make_endpoint("i-1", "domain-0");
     auto deployment = make_deployment(make_processes(1, 3));
     for (auto& process : deployment)
-        process.observe(endpoint, 0.0, start);
+        process.observe_limit(endpoint, 0.0, start);
     const auto most = busiest_window(deployment, endpoint);
     CHECK(most >= 1);
     CHECK(most <= 5);
--- a/Libraries/dispatch/tests/load_balancer_test.cpp
+++ b/Libraries/dispatch/tests/load_balancer_test.cpp
@@ -186,7 +186,7 @@
     auto balancer = make_balancer();
     const monotonic_time now{};
     for (const char* id : {"k1", "k2", "m1"})
-        balancer.limits().observe(balancer.find(endpoint_id(id))->record, 0.5, now);
+        balancer.constraints().observe_limit(balancer.find(endpoint_id(id))->record, 0.5, now);
     const auto refused = balancer.place(model_service(), make_workload(1), {}, target, now);
     REQUIRE(std::holds_alternative<placement_refusal>(refused));
     CHECK(std::get<placement_refusal>(refused).reason == refusal_reason::limited);
--- a/Libraries/exchange/include/siskinwharf/exchange/endpoint_limit_update.h
+++ b/Libraries/exchange/include/siskinwharf/exchange/endpoint_limit_update.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "siskinwharf/base/identifier.h"
-#include "siskinwharf/dispatch/endpoint_limits.h"
+#include "siskinwharf/dispatch/endpoint_constraints.h"
 
 namespace siskinwharf::exchange {
 
--- a/Libraries/forwarding/include/siskinwharf/forwarding/call.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/call.h
@@ -6,6 +6,7 @@
 
 #include "siskinwharf/base/identifier.h"
 #include "siskinwharf/base/time.h"
+#include "siskinwharf/dispatch/endpoint_constraints.h"
 #include "siskinwharf/dispatch/endpoint_record.h"
 #include "siskinwharf/http/message.h"
 
@@ -37,8 +38,8 @@
     bool is_not_run = false;      ///< The endpoint reports that the request did not run and will not run.
     bool is_signed = false;       ///< The response was produced by the endpoint itself.
     std::optional<request_id> id; ///< Request that the response belongs to.
-    /// Requests a second that the endpoint takes from all processes together, for as long as it says so.
-    std::optional<double> requests_per_second;
+    dispatch::endpoint_statement stated;  ///< What the endpoint says of the requests it takes.
+    std::size_t malformed_statements = 0; ///< Headers of such statements that were ignored.
 };
 
 /// Interface that maps requests and responses to the platform's header names.
--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -77,9 +77,9 @@
     void count_part_answer(const std::vector<admission::prompt_part_id>& shared, monotonic_time now);
     void merge_part_crashes(const std::vector<admission::part_crash_record>& records, monotonic_time now);
 
-    /// Records the limit that a response of the endpoint names, or that it names none.
-    void observe_limit(const dispatch::endpoint_record& endpoint, std::optional<double> per_second,
-                       monotonic_time now);
+    /// Records what a response of the endpoint says of the requests that it takes.
+    void observe_statement(const dispatch::endpoint_record& endpoint,
+                           const dispatch::endpoint_statement& stated, monotonic_time now);
     void merge_endpoint_limits(const std::vector<dispatch::endpoint_limit>& limits, monotonic_time now);
 
     /// Fills in the fields of this process's state message that come from this object.
@@ -102,6 +102,7 @@
         dispatch::sliding_sum tokens; ///< Prompt tokens requested by callers.
     };
     service_traffic& traffic_of(const service_id& service);
+    void log_ended_constraints(monotonic_time now);
 
     process_settings m_settings;
     monotonic_time m_started;
--- a/Libraries/forwarding/src/crash_check.cpp
+++ b/Libraries/forwarding/src/crash_check.cpp
@@ -1,5 +1,7 @@
 #include "crash_check.h"
 
+#include <algorithm>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,6 +19,10 @@
 /// Delay before the endpoint is connected to again. A crashed endpoint refuses connections; one that only
 /// reset a connection accepts a new one.
 constexpr milliseconds check_delay{100};
+/// Interval of looking whether a pause of the endpoint has ended, and the pause after which there is no
+/// check.
+constexpr milliseconds pause_check_interval{250};
+constexpr milliseconds maximum_pause_to_wait{10'000};
 
 } // namespace
 
@@ -26,6 +32,15 @@
     constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
     asio::steady_timer timer(executor, check_delay);
     co_await timer.async_wait(use_tuple);
+    // A pausing endpoint wants no connections either.
+    auto pause = state.balancer().constraints().pause_left(endpoint, std::chrono::steady_clock::now());
+    if (pause > maximum_pause_to_wait)
+        co_return;
+    while (pause.count() > 0) {
+        timer.expires_after(std::min(pause, pause_check_interval));
+        co_await timer.async_wait(use_tuple);
+        pause = state.balancer().constraints().pause_left(endpoint, std::chrono::steady_clock::now());
+    }
     boost::system::error_code parse_error;
     const auto ip = asio::ip::make_address(endpoint.ip, parse_error);
     if (parse_error)
--- a/Libraries/forwarding/src/endpoint_reports.cpp
+++ b/Libraries/forwarding/src/endpoint_reports.cpp
@@ -7,7 +7,7 @@
 {
     std::vector<std::string> datagrams;
     for (const auto& update :
-         exchange::endpoint_limit_updates(process, start, state.balancer().limits().announcements(now)))
+         exchange::endpoint_limit_updates(process, start, state.balancer().constraints().announcements(now)))
         datagrams.push_back(exchange::encode(update));
     if (!state.has_crash_news(now) && sequence % messages_per_crash_repetition != 0)
         return datagrams;
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -1,6 +1,7 @@
 #include "forwarded_request.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include <boost/asio/co_spawn.hpp>
@@ -30,6 +31,14 @@
 constexpr milliseconds minimum_read_timeout{500};
 constexpr milliseconds retry_after_not_run{150};
 constexpr milliseconds retry_after_not_ready{700};
+/// Divisor of the remaining time up to which callers wait before they retry.
+constexpr int usable_time_divisor = 3;
+/// Time that a refusal takes to reach the caller at most, and the step in which `Retry-After` is written.
+constexpr milliseconds response_travel_time{50};
+constexpr milliseconds retry_after_step{10};
+/// Divisor of a known wait, and its upper bound, over which callers that wait for the same moment are spread.
+constexpr int retry_spread_divisor = 4;
+constexpr milliseconds maximum_retry_spread{1'000};
 
 } // namespace
 
@@ -190,8 +199,10 @@
         const auto type = refused->reason == dispatch::refusal_reason::no_endpoint
                               ? http::refusal_type::no_endpoint
                               : http::refusal_type::deadline_unreachable;
-        http::refusal reason{type, std::string(to_string(refused->reason)), outcome::not_run,
-                             refused->retry_after};
+        const auto retry_after = refused->reason == dispatch::refusal_reason::limited
+                                     ? usable_retry_after(refused->retry_after)
+                                     : refused->retry_after;
+        http::refusal reason{type, std::string(to_string(refused->reason)), outcome::not_run, retry_after};
         co_await refuse_attempt(std::move(reason));
         co_return std::nullopt;
     }
@@ -335,7 +346,7 @@
         reason = {http::refusal_type::endpoint_failed, "the endpoint failed", outcome::unknown};
     else
         reason = {http::refusal_type::no_endpoint, "no endpoint took the request", outcome::not_run,
-                  retry_after_not_run};
+                  not_run_retry_after()};
     co_await refuse(std::move(reason));
 }
 
@@ -412,6 +423,27 @@
     return std::max(limit - taken, minimum_time_left);
 }
 
+milliseconds forwarded_request::not_run_retry_after() const
+{
+    const auto next = m_state.balancer().place(*m_service, m_call.work, {}, response_start_budget(),
+                                               std::chrono::steady_clock::now());
+    const auto* refused = std::get_if<dispatch::placement_refusal>(&next);
+    return refused != nullptr && refused->reason == dispatch::refusal_reason::limited
+               ? usable_retry_after(refused->retry_after)
+               : retry_after_not_run;
+}
+
+milliseconds forwarded_request::usable_retry_after(milliseconds wait) const
+{
+    const auto spread = std::min(wait / retry_spread_divisor, maximum_retry_spread);
+    const auto position = unit_interval(mix64(hash64(m_call.id.value())));
+    const auto spread_wait =
+        wait + milliseconds(std::llround(position * static_cast<double>(spread.count())));
+    const auto usable =
+        (time_left().value_or(default_request_timeout) - response_travel_time) / usable_time_divisor;
+    return std::clamp(usable / retry_after_step * retry_after_step, milliseconds(0), spread_wait);
+}
+
 milliseconds forwarded_request::response_start_budget() const
 {
     const auto taken = duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_started);
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -63,6 +63,7 @@
                                              dispatch::attempt_ticket& ticket, milliseconds expected);
     boost::asio::awaitable<attempt_end> receive(const dispatch::endpoint_record& endpoint,
                                                 http::part_stream& answer, dispatch::attempt_ticket& ticket);
+    void observe_statement(const dispatch::endpoint_record& endpoint, const response_metadata& facts);
     boost::asio::awaitable<attempt_end> relay_response(http::part_stream& answer,
                                                        dispatch::attempt_ticket& ticket);
     /// How the body of a response was read.
@@ -92,6 +93,11 @@
     /// Whether another attempt may follow the present one.
     [[nodiscard]] bool may_try_elsewhere() const;
     [[nodiscard]] std::optional<milliseconds> time_left() const;
+    /// Retry delay after all attempts were refused by endpoints.
+    [[nodiscard]] milliseconds not_run_retry_after() const;
+    /// Retry delay for a caller that waits for endpoints to take requests again in `wait`: within the time
+    /// that callers wait at all, and spread so that not all come at once.
+    [[nodiscard]] milliseconds usable_retry_after(milliseconds wait) const;
     /// Time left for the response to start, from the latency target of the route and the time left.
     [[nodiscard]] milliseconds response_start_budget() const;
     /// Maximum wait for the next bytes: the time left, or `usual` if another endpoint could take over.
--- a/Libraries/forwarding/src/forwarded_request_relay.cpp
+++ b/Libraries/forwarding/src/forwarded_request_relay.cpp
@@ -38,8 +38,7 @@
     const auto facts = m_codec.inspect(status, answer.headers());
     if (facts.id && *facts.id != m_call.id)
         throw http::call_error(http::call_stage::after_header, "the response belongs to another request");
-    if (facts.is_signed || facts.is_not_run)
-        m_state.observe_limit(endpoint, facts.requests_per_second, std::chrono::steady_clock::now());
+    observe_statement(endpoint, facts);
     if (facts.is_not_run)
         co_return attempt_end::not_run;
     if (!facts.is_signed)
@@ -50,6 +49,19 @@
     co_return co_await relay_response(answer, ticket);
 }
 
+void forwarded_request::observe_statement(const dispatch::endpoint_record& endpoint,
+                                          const response_metadata& facts)
+{
+    if (facts.malformed_statements > 0)
+        m_metrics
+            .find_counter("siskinwharf_malformed_endpoint_statements_total",
+                          "Headers of endpoints about the requests they take that were ignored.", {})
+            ->add(facts.malformed_statements);
+    // That an unsigned response names no limit does not mean that the endpoint has none.
+    if (facts.is_signed || facts.is_not_run || facts.stated.is_leaving || facts.stated.pause)
+        m_state.observe_statement(endpoint, facts.stated, std::chrono::steady_clock::now());
+}
+
 asio::awaitable<attempt_end> forwarded_request::relay_response(http::part_stream& answer,
                                                                dispatch::attempt_ticket& ticket)
 {
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -101,7 +101,8 @@
             loads.insert(loads.end(), peer.state->loads.begin(), peer.state->loads.end());
     }
     m_balancer.set_peer_loads(loads);
-    m_balancer.limits().set_processes(senders_of(view));
+    m_balancer.constraints().set_processes(senders_of(view));
+    log_ended_constraints(now);
     m_quotas.set_peers(view, now);
     m_quarantine.expire(now);
     m_parts.expire(now);
@@ -194,11 +195,35 @@
     log_part_event(event::part_quarantined, quarantined, "peer");
 }
 
-void traffic_state::observe_limit(const dispatch::endpoint_record& endpoint, std::optional<double> per_second,
-                                  monotonic_time now)
+void traffic_state::observe_statement(const dispatch::endpoint_record& endpoint,
+                                      const dispatch::endpoint_statement& stated, monotonic_time now)
 {
-    if (m_balancer.limits().observe(endpoint, per_second, now))
-        log_limit({endpoint.id, endpoint.started_ms, per_second, milliseconds(0)}, "own");
+    // A response may end after its endpoint has restarted.
+    const auto* listed = m_balancer.find(endpoint.id);
+    if (listed != nullptr && listed->record.started_ms != endpoint.started_ms)
+        return;
+    const auto news = m_balancer.constraints().observe(endpoint, stated, now);
+    if (news.is_limit_new)
+        log_limit({endpoint.id, endpoint.started_ms, stated.requests_per_second, milliseconds(0)}, "own");
+    if (news.is_leaving_new)
+        log_event(event::endpoint_leaving_stated,
+                  {{"endpoint", endpoint.id.value()}, {"source", "own"}, {"until", "restart"}});
+    if (news.pause)
+        log_event(event::endpoint_paused, {{"endpoint", endpoint.id.value()},
+                                           {"source", "own"},
+                                           {"named_ms", std::to_string(stated.pause->count())},
+                                           {"ends_in_ms", std::to_string(news.pause->count())}});
+}
+
+void traffic_state::log_ended_constraints(monotonic_time now)
+{
+    for (const auto& ended : m_balancer.constraints().take_ended(now)) {
+        const auto held = std::chrono::duration_cast<milliseconds>(now - ended.since);
+        log_event(event::endpoint_constraint_ended, {{"endpoint", ended.endpoint.value()},
+                                                     {"constraint", std::string(to_string(ended.kind))},
+                                                     {"reason", std::string(to_string(ended.reason))},
+                                                     {"held_ms", std::to_string(held.count())}});
+    }
 }
 
 void traffic_state::merge_endpoint_limits(const std::vector<dispatch::endpoint_limit>& limits,
--- a/Libraries/forwarding/tests/forwarding_fixture.h
+++ b/Libraries/forwarding/tests/forwarding_fixture.h
@@ -47,7 +47,7 @@
         return result;
     }
 
-    [[nodiscard]] response_metadata inspect(int /*status*/,
+    [[nodiscard]] response_metadata inspect(int status,
                                             const std::vector<http::header_field>& headers) const override
     {
         response_metadata facts;
@@ -57,7 +57,13 @@
             if (name == "Id")
                 facts.id = request_id(value);
             if (name == "Limit")
-                facts.requests_per_second = std::stod(value);
+                facts.stated.requests_per_second = std::stod(value);
+            if (name == "Leaving")
+                facts.stated.is_leaving = true;
+            if (name == "Pause-Ms" && status == 503)
+                facts.stated.pause = milliseconds(std::stoll(value));
+            if (name == "Malformed")
+                ++facts.malformed_statements;
         }
         return facts;
     }
