Peers: Tell which endpoints said that they leave

Each process sent requests to a leaving endpoint until it had a response of its own that said so, or until the platform's list did. A process now tells its peers the endpoints that said so to it in the last 3 s, at most the 16 latest, in the message of limits (one optional field).

With the announcement and the merge taken out, both new tests of `dispatch` fail; without the field, the test of encoding of `exchange` fails. With the change, test_dispatch, test_platform, test_forwarding and test_exchange pass.

--- a/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_constraints.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_constraints.h
@@ -13,12 +13,13 @@
 
 namespace siskinwharf::dispatch {
 
-/// What an endpoint said of its limit, in the form that peers exchange.
+/// What an endpoint said of its limit and of leaving, in the form that peers exchange.
 struct endpoint_limit {
     endpoint_id endpoint;
     std::uint64_t started_ms = 0;     ///< Incarnation of the endpoint.
     std::optional<double> per_second; ///< Missing: the endpoint names no limit any more.
     milliseconds age{0};
+    bool is_leaving = false; ///< The endpoint takes no new requests any more.
 
     auto operator<=>(const endpoint_limit&) const = default;
 };
@@ -103,8 +104,10 @@
     /// Records the limit that a response of an endpoint named; nothing if it named none. Returns whether this
     /// is news.
     bool observe_limit(const endpoint_record& endpoint, std::optional<double> per_second, monotonic_time now);
-    /// Merges what a peer said of this endpoint. Returns whether this is news.
+    /// Merges what a peer said of the limit of this endpoint. Returns whether this is news.
     bool merge(const endpoint_record& endpoint, const endpoint_limit& told, monotonic_time now);
+    /// Merges that a peer said that this endpoint leaves. Returns whether this is news.
+    bool merge_leaving(const endpoint_record& endpoint, const endpoint_limit& told, monotonic_time now);
     /// Returns what peers should be told now: what changed lately or has not been told for a while.
     [[nodiscard]] std::vector<endpoint_limit> announcements(monotonic_time now) const;
 
@@ -131,6 +134,7 @@
         std::string ip;
         std::uint16_t port = 0;
         std::optional<monotonic_time> leaving_since; ///< When the endpoint first said so.
+        bool is_leaving_own = false;                 ///< The endpoint said so to this process.
         std::optional<pause_time> pause;
         failure_domain_id domain;
         std::optional<double> per_second;
@@ -151,6 +155,7 @@
     /// Ends what an incarnation said, apart from its limit.
     void end_statements(const endpoint_id& endpoint, entry& value, constraint_end reason);
     void end_pause(const endpoint_id& endpoint, entry& value, constraint_end reason);
+    [[nodiscard]] std::vector<endpoint_limit> leaving_announcements(monotonic_time now) const;
     [[nodiscard]] static milliseconds limit_wait(const entry& value, monotonic_time now);
     [[nodiscard]] static milliseconds pause_wait(const entry& value, monotonic_time now);
     [[nodiscard]] double share_of(const endpoint_id& endpoint, const entry& value) const;
--- a/Libraries/dispatch/include/siskinwharf/dispatch/load_balancer.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/load_balancer.h
@@ -106,7 +106,7 @@
 
     [[nodiscard]] endpoint_constraints& constraints() { return m_constraints; }
     [[nodiscard]] const endpoint_constraints& constraints() const { return m_constraints; }
-    /// Merges what a peer said of limits. Returns what is news.
+    /// Merges what a peer said of limits and of leaving endpoints. Returns what is news.
     std::vector<endpoint_limit> merge_limits(const std::vector<endpoint_limit>& limits, monotonic_time now);
     /// Prompt tokens per millisecond that an engine of this service computes when there is little contention.
     [[nodiscard]] double prefill_speed(const service_id& service) const
--- a/Libraries/dispatch/src/endpoint_constraints.cpp
+++ b/Libraries/dispatch/src/endpoint_constraints.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "siskinwharf/base/hash.h"
@@ -26,6 +27,8 @@
 /// How long news is told to peers, and after how long what an endpoint still says is told again.
 constexpr milliseconds announcement_time{3'000};
 constexpr milliseconds announcement_interval{15'000};
+/// Leaving endpoints that are told at once, the latest first. The others are told by the platform's list.
+constexpr std::size_t maximum_leaving_announcements = 16;
 /// Time after which a limit that nobody confirms is tried out.
 constexpr milliseconds stale_after{60'000};
 /// Retry delay of a process that has no share of the limit: about the time in which limits come and go.
@@ -118,8 +121,10 @@
     if (stated.is_leaving) {
         auto& value = entry_of(endpoint);
         news.is_leaving_new = !value.leaving_since;
-        if (!value.leaving_since)
+        if (!value.leaving_since) {
             value.leaving_since = now;
+            value.is_leaving_own = true;
+        }
     }
     if (stated.pause)
         news.pause = set_pause(endpoint, *stated.pause, now);
@@ -224,6 +229,19 @@
     return true;
 }
 
+bool endpoint_constraints::merge_leaving(const endpoint_record& endpoint, const endpoint_limit& told,
+                                         monotonic_time now)
+{
+    if (!told.is_leaving || told.started_ms != endpoint.started_ms)
+        return false;
+    auto& value = entry_of(endpoint);
+    if (value.leaving_since)
+        return false;
+    value.leaving_since = now - told.age;
+    value.is_leaving_own = false;
+    return true;
+}
+
 void endpoint_constraints::take(entry& value, const endpoint_record& endpoint,
                                 std::optional<double> per_second, monotonic_time now)
 {
@@ -243,14 +261,32 @@
 {
     std::vector<endpoint_limit> result;
     for (const auto& [id, value] : m_entries) {
-        if (now - value.announced < announcement_time)
+        if (now - value.announced < announcement_time && !value.leaving_since)
             result.push_back(
                 {id, value.started_ms, value.per_second, duration_cast<milliseconds>(now - value.announced)});
     }
+    const auto leaving = leaving_announcements(now);
+    result.insert(result.end(), leaving.begin(), leaving.end());
     std::ranges::sort(result);
     return result;
 }
 
+std::vector<endpoint_limit> endpoint_constraints::leaving_announcements(monotonic_time now) const
+{
+    std::vector<endpoint_limit> result;
+    for (const auto& [id, value] : m_entries) {
+        // Each process tells all others what it saw itself, so what peers told is not repeated.
+        if (value.leaving_since && value.is_leaving_own && now - *value.leaving_since < announcement_time)
+            result.push_back({id, value.started_ms, std::nullopt,
+                              duration_cast<milliseconds>(now - *value.leaving_since), true});
+    }
+    std::ranges::sort(result, [](const endpoint_limit& left, const endpoint_limit& right) {
+        return std::tie(left.age, left.endpoint) < std::tie(right.age, right.endpoint);
+    });
+    result.resize(std::min(result.size(), maximum_leaving_announcements));
+    return result;
+}
+
 milliseconds endpoint_constraints::wait(const endpoint_record& endpoint, monotonic_time now) const
 {
     if (m_entries.empty())
--- a/Libraries/dispatch/src/load_balancer.cpp
+++ b/Libraries/dispatch/src/load_balancer.cpp
@@ -99,7 +99,10 @@
     std::vector<endpoint_limit> news;
     for (const auto& limit : limits) {
         const auto* state = find(limit.endpoint);
-        if (state != nullptr && m_constraints.merge(state->record, limit, now))
+        if (state == nullptr)
+            continue;
+        if (limit.is_leaving ? m_constraints.merge_leaving(state->record, limit, now)
+                             : m_constraints.merge(state->record, limit, now))
             news.push_back(limit);
     }
     return news;
--- a/Libraries/dispatch/tests/endpoint_constraints_test.cpp
+++ b/Libraries/dispatch/tests/endpoint_constraints_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 #include <string>
 
@@ -202,6 +203,44 @@
     }
 }
 
+TEST_CASE("peers are told of a leaving endpoint once, and act on the word for the same incarnation only")
+{
+    const auto endpoint = make_endpoint("i-1", 1);
+    auto balancer = make_balancer({endpoint});
+    auto own = make_constraints();
+    own.observe(endpoint, leaving(), start);
+    const auto told = own.announcements(start + milliseconds(200));
+    REQUIRE(told.size() == 1);
+    CHECK(told[0] == endpoint_limit{endpoint.id, 1, std::nullopt, milliseconds(200), true});
+    CHECK(own.announcements(start + seconds(3)).empty());
+    // A repeated statement is no news.
+    own.observe(endpoint, leaving(), start + seconds(4));
+    CHECK(own.announcements(start + seconds(4)).empty());
+
+    CHECK(balancer.merge_limits({{endpoint.id, 0, std::nullopt, milliseconds(0), true}}, start).empty());
+    CHECK(std::holds_alternative<placement>(place(balancer, start)));
+    CHECK(balancer.merge_limits(told, start + milliseconds(300)).size() == 1);
+    CHECK(balancer.merge_limits(told, start + milliseconds(300)).empty());
+    CHECK(std::holds_alternative<placement_refusal>(place(balancer, start + seconds(60))));
+    // What was told is not told on.
+    CHECK(balancer.constraints().announcements(start + milliseconds(300)).empty());
+    // An older word of the limit, which a peer sent before, does not undo it.
+    CHECK(balancer.constraints().merge(endpoint, {endpoint.id, 1, 2.0, seconds(1)}, start + seconds(1)));
+    CHECK(balancer.constraints().wait(endpoint, start + seconds(1)) == never);
+}
+
+TEST_CASE("what peers are told of leaving endpoints is bounded, and the latest are told")
+{
+    constexpr std::size_t maximum_told = 16;
+    auto constraints = make_constraints();
+    for (std::uint16_t index = 0; index < 100; ++index)
+        constraints.observe(make_endpoint("i-" + std::to_string(index), index), leaving(),
+                            start + milliseconds(index));
+    const auto told = constraints.announcements(start + milliseconds(100));
+    CHECK(told.size() == maximum_told);
+    CHECK(std::ranges::all_of(told, [](const auto& one) { return one.age.count() <= 16; }));
+}
+
 TEST_CASE("placement passes over endpoints that leave or pause and names the least wait when none is left")
 {
     const std::vector<endpoint_record> endpoints{make_endpoint("i-1", 1), make_endpoint("i-2", 2),
--- a/Libraries/exchange/exchange.thrift
+++ b/Libraries/exchange/exchange.thrift
@@ -108,6 +108,7 @@
   2: i64 started_ms
   3: i64 per_thousand_seconds = -1
   4: i64 age_ms
+  5: optional bool is_leaving
 }
 
 // What endpoints said lately of the requests that they take.
--- a/Libraries/exchange/src/endpoint_limit_update.cpp
+++ b/Libraries/exchange/src/endpoint_limit_update.cpp
@@ -16,6 +16,7 @@
         if (entry.per_thousand_seconds >= 0)
             limit.per_second = static_cast<double>(entry.per_thousand_seconds) / permille;
         limit.age = to_age(entry.age_ms);
+        limit.is_leaving = entry.__isset.is_leaving && entry.is_leaving;
     }
     return result;
 }
@@ -35,6 +36,8 @@
             entry.per_thousand_seconds =
                 std::llround(std::min(*limit.per_second, maximum_per_second) * permille);
         entry.age_ms = limit.age.count();
+        if (limit.is_leaving)
+            entry.__set_is_leaving(true);
     }
     return write(result);
 }
--- a/Libraries/exchange/tests/process_state_test.cpp
+++ b/Libraries/exchange/tests/process_state_test.cpp
@@ -167,7 +167,8 @@
     std::vector<dispatch::endpoint_limit> limits;
     for (int index = 0; index < 70; ++index) {
         const auto id = "i-0123456789abcdef-" + std::to_string(index);
-        limits.push_back({endpoint_id(id), 1'772'824'595'022, index * 0.125, milliseconds(3'000)});
+        limits.push_back(
+            {endpoint_id(id), 1'772'824'595'022, index * 0.125, milliseconds(3'000), index % 2 == 0});
     }
     limits.back().per_second.reset();
     std::vector<dispatch::endpoint_limit> received;
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -50,6 +50,12 @@
                {"age_ms", std::to_string(limit.age.count())}});
 }
 
+void log_leaving(const endpoint_id& endpoint, std::string_view source)
+{
+    log_event(event::endpoint_leaving_stated,
+              {{"endpoint", endpoint.value()}, {"source", std::string(source)}, {"until", "restart"}});
+}
+
 void log_part_event(const event_kind& kind, const std::vector<admission::prompt_part_id>& parts,
                     std::string_view source)
 {
@@ -206,8 +212,7 @@
     if (news.is_limit_new)
         log_limit({endpoint.id, endpoint.started_ms, stated.requests_per_second, milliseconds(0)}, "own");
     if (news.is_leaving_new)
-        log_event(event::endpoint_leaving_stated,
-                  {{"endpoint", endpoint.id.value()}, {"source", "own"}, {"until", "restart"}});
+        log_leaving(endpoint.id, "own");
     if (news.pause)
         log_event(event::endpoint_paused, {{"endpoint", endpoint.id.value()},
                                            {"source", "own"},
@@ -229,8 +234,12 @@
 void traffic_state::merge_endpoint_limits(const std::vector<dispatch::endpoint_limit>& limits,
                                           monotonic_time now)
 {
-    for (const auto& limit : m_balancer.merge_limits(limits, now))
-        log_limit(limit, "peer");
+    for (const auto& limit : m_balancer.merge_limits(limits, now)) {
+        if (limit.is_leaving)
+            log_leaving(limit.endpoint, "peer");
+        else
+            log_limit(limit, "peer");
+    }
 }
 
 usage::window_number traffic_state::current_window(monotonic_time now) const
