Peers: Bound what is told of leaving endpoints by the bytes of control

With many endpoints that leave at once, the 16 latest went with each message: 26,112 bytes a second at 48 messages a second, where a process of a large deployment may use 10 KB for control. The new test of the bytes failed with that. Now the 2 latest go with each message, which stays within half of it; the others are learned from a process's own responses or the list. The test of the bound in `dispatch` asks for 2 instead of 16, which is stricter. A test shows that eight peers learn from one report.

--- a/Libraries/dispatch/src/endpoint_constraints.cpp
+++ b/Libraries/dispatch/src/endpoint_constraints.cpp
@@ -28,7 +28,7 @@
 constexpr milliseconds announcement_time{3'000};
 constexpr milliseconds announcement_interval{15'000};
 /// Leaving endpoints that are told at once, the latest first. The others are told by the platform's list.
-constexpr std::size_t maximum_leaving_announcements = 16;
+constexpr std::size_t maximum_leaving_announcements = 2;
 /// Time after which a limit that nobody confirms is tried out.
 constexpr milliseconds stale_after{60'000};
 /// Retry delay of a process that has no share of the limit: about the time in which limits come and go.
--- a/Libraries/dispatch/tests/endpoint_constraints_test.cpp
+++ b/Libraries/dispatch/tests/endpoint_constraints_test.cpp
@@ -231,14 +231,14 @@
 
 TEST_CASE("what peers are told of leaving endpoints is bounded, and the latest are told")
 {
-    constexpr std::size_t maximum_told = 16;
+    constexpr std::size_t maximum_told = 2;
     auto constraints = make_constraints();
     for (std::uint16_t index = 0; index < 100; ++index)
         constraints.observe(make_endpoint("i-" + std::to_string(index), index), leaving(),
                             start + milliseconds(index));
     const auto told = constraints.announcements(start + milliseconds(100));
     CHECK(told.size() == maximum_told);
-    CHECK(std::ranges::all_of(told, [](const auto& one) { return one.age.count() <= 16; }));
+    CHECK(std::ranges::all_of(told, [](const auto& one) { return one.age.count() <= 2; }));
 }
 
 TEST_CASE("placement passes over endpoints that leave or pause and names the least wait when none is left")
--- a/Libraries/forwarding/tests/endpoint_reports_test.cpp
+++ b/Libraries/forwarding/tests/endpoint_reports_test.cpp
@@ -20,6 +20,31 @@
     return bytes;
 }
 
+process_settings settings_of(const std::string& process)
+{
+    process_settings settings;
+    settings.instance = instance_id(process);
+    return settings;
+}
+
+dispatch::endpoint_record make_endpoint(std::uint16_t port)
+{
+    dispatch::endpoint_record record;
+    record.id = endpoint_id("i-0123456789ab-" + std::to_string(port));
+    record.service = service_id("s");
+    record.ip = "10.0.0.1";
+    record.port = port;
+    record.started_ms = 1'772'824'595'022;
+    return record;
+}
+
+dispatch::endpoint_statement leaving()
+{
+    dispatch::endpoint_statement stated;
+    stated.is_leaving = true;
+    return stated;
+}
+
 } // namespace
 
 TEST_CASE("records of crashes do not use up the network of a large deployment")
@@ -44,4 +69,39 @@
     CHECK(later / seconds_counted <= 5'000);
 }
 
+TEST_CASE("nine processes learn from the reports of one that an endpoint leaves")
+{
+    const auto endpoint = make_endpoint(1);
+    traffic_state first(settings_of("entry-1"), 1, usage::wall_time{}, start);
+    first.set_endpoints({endpoint});
+    first.observe_statement(endpoint, leaving(), start);
+    for (int index = 2; index <= 9; ++index) {
+        traffic_state peer(settings_of("entry-" + std::to_string(index)), 1, usage::wall_time{}, start);
+        peer.set_endpoints({endpoint});
+        for (const auto& datagram : encode_reports(first, instance_id("entry-1"), 1, 1, start + seconds(1))) {
+            const auto message = exchange::decode(datagram);
+            if (const auto* update = std::get_if<exchange::endpoint_limit_update>(&message))
+                peer.merge_endpoint_limits(update->limits, start + seconds(1));
+        }
+        CHECK(peer.balancer().constraints().wait(endpoint, start + seconds(1)) ==
+              dispatch::endpoint_constraints::never);
+    }
+}
+
+TEST_CASE("what is told of leaving endpoints does not use up the network of a large deployment")
+{
+    std::vector<dispatch::endpoint_record> endpoints;
+    for (std::uint16_t port = 1; port <= 100; ++port)
+        endpoints.push_back(make_endpoint(port));
+    traffic_state state(settings_of("entry-1"), 1, usage::wall_time{}, start);
+    state.set_endpoints(endpoints);
+    for (const auto& endpoint : endpoints)
+        state.observe_statement(endpoint, leaving(), start);
+    const auto bytes = bytes_of_messages(state, milliseconds(100), 48);
+    CHECK(bytes > 0);
+    // Half of what a process may send in a second for control.
+    CHECK(bytes <= 5'000);
+    CHECK(bytes_of_messages(state, milliseconds(3'000), 48) == 0);
+}
+
 } // namespace siskinwharf::forwarding
