--- a/Libraries/forwarding/tests/forwarding_fixture.h
+++ b/Libraries/forwarding/tests/forwarding_fixture.h
@@ -59,7 +59,13 @@
             if (name == "Id")
                 facts.id = facts.id && facts.id->value() != value ? request_id() : request_id(value);
             if (name == "Limit")
-                facts.requests_per_second = std::stod(value);
+                facts.stated.requests_per_second = std::stod(value);
+            if (name == "Leaving")
+                facts.stated.is_leaving = true;
+            if (name == "Pause-Ms" && status == 503)
+                facts.stated.pause = milliseconds(std::stoll(value));
+            if (name == "Malformed")
+                ++facts.malformed_statements;
         }
         return facts;
     }
