Dispatch: Judge a silent endpoint by all of its requests

Cause: a request's own silence of half a second counted against its endpoint, although a sound one may be silent for a second or so.

Placement avoids an endpoint while it is silent towards an overdue request, and one that was given up is in backoff at once.

--- a/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_state.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/endpoint_state.h
@@ -34,6 +34,7 @@
     rejected,     ///< The endpoint reported that it did not run the request.
     broken,       ///< The connection was closed or the response was invalid.
     unreachable,  ///< No connection could be established.
+    silent,       ///< The endpoint was silent towards all requests of this process for too long.
     cancelled,    ///< This process aborted the attempt.
 };
 
--- a/Libraries/dispatch/include/siskinwharf/dispatch/load_balancer.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/load_balancer.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "siskinwharf/deployment/snapshot.h"
+#include "siskinwharf/dispatch/endpoint_activity.h"
 #include "siskinwharf/dispatch/endpoint_limits.h"
 #include "siskinwharf/dispatch/endpoint_state.h"
 
@@ -104,6 +105,7 @@
     /// Removes the request from the load of the endpoint and updates the failure rate and the backoff.
     void finish(attempt_ticket& ticket, attempt_result result, monotonic_time now);
 
+    [[nodiscard]] endpoint_activity& activity() { return m_activity; }
     [[nodiscard]] endpoint_limits& limits() { return m_limits; }
     [[nodiscard]] const endpoint_limits& limits() const { return m_limits; }
     /// Merges what a peer said of limits. Returns what is news.
@@ -167,6 +169,7 @@
     std::map<endpoint_id, std::uint64_t> m_published_tokens;
     std::function<void()> m_on_changed_load;
     endpoint_limits m_limits;
+    endpoint_activity m_activity;
 };
 
 } // namespace siskinwharf::dispatch
--- a/Libraries/dispatch/src/load_balancer.cpp
+++ b/Libraries/dispatch/src/load_balancer.cpp
@@ -273,8 +273,9 @@
         // Half a millisecond per running request spreads requests over endpoints of equal cost.
         const auto spread = static_cast<double>(state->running + state->peers_running) * 0.5;
         const auto prefill_ms = static_cast<double>(prefill) / times.tokens_per_ms;
+        const auto silence = static_cast<double>(m_activity.overdue_silence(state->record.id, now).count());
         const auto cost =
-            expected + penalty + locality_penalty_ms(*state) + spread + prefill_ms * prefill_weight;
+            silence + expected + penalty + locality_penalty_ms(*state) + spread + prefill_ms * prefill_weight;
         if (cost < best_cost) {
             best = state;
             best_cost = cost;
@@ -367,13 +368,14 @@
         return;
     const bool failed = result != attempt_result::answered;
     state.failure_rate += sample_weight * ((failed ? 1.0 : 0.0) - state.failure_rate);
-    if (result != attempt_result::unreachable && result != attempt_result::broken) {
+    if (result != attempt_result::unreachable && result != attempt_result::broken &&
+        result != attempt_result::silent) {
         state.consecutive_failures = 0;
         return;
     }
     ++state.consecutive_failures;
     // A single broken connection may be coincidence. A refused connection shows that the endpoint is not
-    // running.
+    // running, and silence is the word of all its connections.
     if (result == attempt_result::broken && state.consecutive_failures < 2)
         return;
     const auto doubled = m_settings.initial_backoff * (1 << std::min(state.consecutive_failures - 1, 4U));
--- a/Libraries/dispatch/tests/load_balancer_test.cpp
+++ b/Libraries/dispatch/tests/load_balancer_test.cpp
@@ -220,6 +220,37 @@
           endpoint_id("k2"));
 }
 
+TEST_CASE("an endpoint that is silent towards an overdue request is avoided until it makes progress")
+{
+    auto balancer = make_balancer();
+    balancer.set_endpoints({endpoint("k1", "kingston"), endpoint("k2", "kingston")});
+    const monotonic_time now{};
+    const workload plain{100, 10, {}, 0};
+    const auto selected = [&](milliseconds time) {
+        return selected_endpoint(balancer.place(model_service(), plain, {}, target, now + time));
+    };
+    const auto silent = selected(milliseconds(0));
+    auto& activity = balancer.activity();
+    const auto number = activity.start(silent, service_id("plans"), milliseconds(40), now);
+    CHECK(selected(milliseconds(400)) == silent);
+    CHECK(selected(milliseconds(600)) != silent);
+    activity.on_progress(number, now + milliseconds(700));
+    CHECK(selected(milliseconds(800)) == silent);
+}
+
+TEST_CASE("an endpoint that was given up for its silence is in backoff at once")
+{
+    auto balancer = make_balancer();
+    const monotonic_time now{};
+    auto ticket = balancer.start(model_service(), endpoint_id("k1"), make_workload(5), now);
+    balancer.finish(ticket, attempt_result::silent, now);
+    CHECK(balancer.find(endpoint_id("k1"))->backoff_until > now);
+    auto cancelled = balancer.start(model_service(), endpoint_id("k2"), make_workload(5), now);
+    balancer.finish(cancelled, attempt_result::cancelled, now);
+    CHECK(balancer.find(endpoint_id("k2"))->backoff_until <= now);
+    CHECK(balancer.find(endpoint_id("k2"))->failure_rate == 0);
+}
+
 TEST_CASE("the load of an endpoint's former incarnation does not count for the new one")
 {
     auto balancer = make_balancer();
