Forwarding: Leave silent endpoints, not slow responses

Cause: every read of a repeatable request timed out after 500 ms or four times the expected time. The last attempt that the route allows was ended too, because it was counted only after its response header: the caller got a 502 with most of its time left.

Change: reads wait until the deadline. A watch asks endpoint_activity every 100 ms and ends the attempt only if the route allows another, the retry budget has a retry and an endpoint is expected to serve it in time.

--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "crash_check.h"
+#include "silence_watch.h"
 #include "siskinwharf/base/digest.h"
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/base/hash.h"
@@ -25,9 +26,8 @@
 constexpr milliseconds connect_timeout{400};
 /// Number of failed connection attempts after which the request is refused.
 constexpr std::size_t maximum_unreachable_attempts = 3;
-/// An endpoint that takes this many times the expected time is considered hung.
-constexpr int hang_factor = 4;
-constexpr milliseconds minimum_read_timeout{500};
+/// Time between two checks of an endpoint's silence.
+constexpr milliseconds silence_check_interval{100};
 constexpr milliseconds retry_after_not_run{150};
 constexpr milliseconds retry_after_not_ready{700};
 
@@ -48,6 +48,8 @@
         return "failed";
     case attempt_end::timed_out:
         return "timed_out";
+    case attempt_end::given_up:
+        return "given_up";
     case attempt_end::caller_gone:
         return "caller_gone";
     }
@@ -242,33 +244,50 @@
     order.time_left = time_left();
     order.resume_after = m_events.last_id() ? m_events.last_id() : m_call.resume_after;
     const http::address target{endpoint.ip, endpoint.port};
-    const auto wait = read_timeout(expected * hang_factor);
+    const auto wait = read_timeout();
     const http::call_times times{std::min(connect_timeout, wait), wait};
     auto message = m_codec.encode(m_call, order);
+    if (!m_is_caller_gone)
+        m_control = std::make_shared<http::call_control>();
+    m_verdict = dispatch::silence_verdict::none;
+    m_is_reading = true;
+    m_attempt_number = m_state.balancer().activity().start(endpoint.id, m_service->id, expected,
+                                                           std::chrono::steady_clock::now());
+    ++m_sent_attempts;
+    std::optional<silence_watch> watch;
+    if (may_try_elsewhere())
+        watch.emplace(m_executor, silence_check_interval, [this] { return give_up_if_silent(); });
     std::unique_ptr<http::part_stream> answer;
     auto end = attempt_end::failed;
     try {
         answer = co_await m_client.open_parts(target, std::move(message), times, m_control);
-        ++m_sent_attempts;
+        m_is_reading = false;
+        on_progress();
         end = co_await receive(endpoint, *answer, ticket);
     } catch (const http::call_error& error) {
-        if (error.stage() == http::call_stage::before_send)
+        if (error.stage() == http::call_stage::before_send) {
             end = attempt_end::not_sent;
-        else if (error.stage() == http::call_stage::after_send)
-            ++m_sent_attempts;
+            --m_sent_attempts;
+        }
         if (m_is_caller_gone)
             end = attempt_end::caller_gone;
+        else if (m_verdict != dispatch::silence_verdict::none && end == attempt_end::failed)
+            end = attempt_end::given_up;
         else if (const auto left = time_left();
                  left && *left <= minimum_time_left && end == attempt_end::failed)
             end = attempt_end::timed_out;
-        log_event(
-            event::attempt_broken,
-            {{"request", m_call.id.value()}, {"endpoint", endpoint.id.value()}, {"reason", error.what()}});
+        log_event(event::attempt_broken,
+                  {{"request", m_call.id.value()},
+                   {"endpoint", endpoint.id.value()},
+                   {"reason", end == attempt_end::given_up ? "given up, " + std::string(to_string(m_verdict))
+                                                           : std::string(error.what())}});
     } catch (const http::caller_disconnected&) {
         m_is_caller_gone = true;
         end = attempt_end::caller_gone;
     }
+    watch.reset();
     const auto now = std::chrono::steady_clock::now();
+    m_state.balancer().activity().finish(m_attempt_number, end == attempt_end::delivered, now);
     auto result = dispatch::attempt_result::cancelled;
     if (end == attempt_end::delivered)
         result = dispatch::attempt_result::answered;
@@ -278,10 +297,12 @@
         result = dispatch::attempt_result::unreachable;
     else if (end == attempt_end::failed || end == attempt_end::aborted)
         result = dispatch::attempt_result::broken;
+    else if (end == attempt_end::given_up && m_verdict == dispatch::silence_verdict::hung)
+        result = dispatch::attempt_result::silent;
     balancer.finish(ticket, result, now);
     if (end != attempt_end::not_run && end != attempt_end::not_sent)
         m_may_have_run = true;
-    if (result == dispatch::attempt_result::broken)
+    if (result == dispatch::attempt_result::broken || result == dispatch::attempt_result::silent)
         start_crash_check(endpoint);
     if (end == attempt_end::delivered && !m_state.quarantine().is_empty())
         static_cast<void>(m_state.quarantine().on_finished(content(), now));
@@ -304,7 +325,7 @@
         return ++m_unreachable_attempts < maximum_unreachable_attempts;
     if (end == attempt_end::timed_out || m_sent_attempts >= m_route->maximum_attempts)
         return false;
-    if (end == attempt_end::failed && !is_repeatable())
+    if ((end == attempt_end::failed || end == attempt_end::given_up) && !is_repeatable())
         return false;
     if (std::exchange(m_has_reserved_retry, false))
         return true;
@@ -422,15 +443,44 @@
     return taken > target ? left : std::min(target - taken, left);
 }
 
-milliseconds forwarded_request::read_timeout(milliseconds usual) const
+void forwarded_request::on_progress()
+{
+    m_state.balancer().activity().on_progress(m_attempt_number, std::chrono::steady_clock::now());
+}
+
+bool forwarded_request::give_up_if_silent()
+{
+    // While the caller takes what has arrived, the endpoint is not waited for.
+    if (!m_is_reading)
+        return false;
+    const auto now = std::chrono::steady_clock::now();
+    const auto left = time_left().value_or(default_request_timeout);
+    const auto verdict = m_state.balancer().activity().assess(m_attempt_number, left, now);
+    if (verdict == dispatch::silence_verdict::none || !is_served_elsewhere(now))
+        return false;
+    // Without a retry the request stays where it is, because its endpoint may go on.
+    if (!m_has_reserved_retry && !m_state.try_repeat(m_service->id, now))
+        return false;
+    m_has_reserved_retry = true;
+    m_verdict = verdict;
+    if (verdict == dispatch::silence_verdict::hung)
+        m_state.balancer().activity().on_given_up(m_attempt_number, now);
+    m_control->cancel();
+    return true;
+}
+
+bool forwarded_request::is_served_elsewhere(monotonic_time now) const
 {
     const auto left = time_left().value_or(default_request_timeout);
-    return may_try_elsewhere() ? std::min(left, std::max(usual, minimum_read_timeout)) : left;
+    const auto decision =
+        m_state.balancer().place(*m_service, m_call.work, m_tried_endpoints, response_start_budget(), now);
+    const auto* other = std::get_if<dispatch::placement>(&decision);
+    return other != nullptr && other->expected < left && left >= minimum_attempt_time;
 }
 
 bool forwarded_request::may_try_elsewhere() const
 {
-    return is_repeatable() && m_sent_attempts + 1 <= m_route->maximum_attempts;
+    return is_repeatable() && m_sent_attempts < m_route->maximum_attempts;
 }
 
 admission::content_key forwarded_request::content() const
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -26,6 +26,7 @@
     not_sent,    ///< No connection could be opened.
     failed,      ///< The endpoint may have run the request.
     timed_out,   ///< The request timed out; the endpoint may have run it.
+    given_up,    ///< This process ended it because the endpoint was silent; the endpoint may have run it.
     caller_gone, ///< The caller disconnected.
 };
 
@@ -94,8 +95,16 @@
     [[nodiscard]] std::optional<milliseconds> time_left() const;
     /// Time left for the response to start, from the latency target of the route and the time left.
     [[nodiscard]] milliseconds response_start_budget() const;
-    /// Maximum wait for the next bytes: the time left, or `usual` if another endpoint could take over.
-    [[nodiscard]] milliseconds read_timeout(milliseconds usual) const;
+    /// Reads what arrives next, up to the deadline.
+    boost::asio::awaitable<std::string> read_part(http::part_stream& answer);
+    /// Maximum wait for the next bytes.
+    [[nodiscard]] milliseconds read_timeout() const { return time_left().value_or(default_request_timeout); }
+    /// Ends the present attempt if its endpoint is silent for too long and another can serve the request.
+    /// Returns whether it was ended.
+    bool give_up_if_silent();
+    /// Whether another endpoint is expected to serve the request before its deadline.
+    [[nodiscard]] bool is_served_elsewhere(monotonic_time now) const;
+    void on_progress();
     [[nodiscard]] admission::content_key content() const;
 
     boost::asio::any_io_executor m_executor;
@@ -113,7 +122,7 @@
     const deployment::service* m_service = nullptr;
     double m_quota_taken = 0;
     std::vector<endpoint_id> m_tried_endpoints;
-    std::size_t m_sent_attempts = 0;        ///< Attempts that reached an endpoint.
+    std::size_t m_sent_attempts = 0; ///< Attempts that may have reached an endpoint, with the present one.
     std::size_t m_unreachable_attempts = 0; ///< Attempts without a connection.
     bool m_may_have_run = false;
     bool m_has_reserved_retry = false; ///< A retry has already been taken from the budget.
@@ -122,7 +131,10 @@
     bool m_is_caller_gone = false;
     /// Error response of an endpoint, which is sent if no retry succeeds.
     std::optional<http::response> m_failure_answer;
-    std::shared_ptr<http::call_control> m_control;
+    std::shared_ptr<http::call_control> m_control; ///< Of the present attempt.
+    dispatch::endpoint_activity::attempt_number m_attempt_number = 0;
+    bool m_is_reading = false; ///< Bytes of the endpoint are waited for.
+    dispatch::silence_verdict m_verdict = dispatch::silence_verdict::none; ///< On the present attempt.
     event_splitter m_events;
 };
 
--- a/Libraries/forwarding/src/forwarded_request_relay.cpp
+++ b/Libraries/forwarding/src/forwarded_request_relay.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-using std::chrono::duration_cast;
-
-/// Time without an event in a resumable stream after which another endpoint takes over.
-constexpr milliseconds event_timeout{1'300};
 constexpr std::size_t maximum_response_size = 16U << 20U;
 /// A response up to this size is held until it is whole, so that another endpoint can take over before. A
 /// larger one is passed on as it arrives, so that many at once fit into memory.
@@ -85,13 +81,22 @@
         throw http::call_error(http::call_stage::after_header, "the response did not end in time", true);
 }
 
+asio::awaitable<std::string> forwarded_request::read_part(http::part_stream& answer)
+{
+    m_is_reading = true;
+    auto part = co_await answer.next_part(read_timeout());
+    m_is_reading = false;
+    co_return part;
+}
+
 asio::awaitable<forwarded_request::body_end> forwarded_request::read_body(http::part_stream& answer,
                                                                           http::response& whole)
 {
     std::size_t size = 0;
     while (true) {
         check_time_left();
-        auto part = co_await answer.next_part(read_timeout(default_request_timeout));
+        auto part = co_await read_part(answer);
+        on_progress();
         if (part.empty())
             break;
         size += part.size();
@@ -103,6 +108,7 @@
         if (!m_writer.started())
             co_await m_writer.begin(whole.status, whole.headers);
         co_await m_writer.write(std::exchange(whole.body, {}));
+        on_progress();
     }
     if (!m_writer.started())
         co_return body_end::held;
@@ -121,15 +127,9 @@
                                                                    dispatch::attempt_ticket& ticket)
 {
     bool has_event = false;
-    auto last_event = std::chrono::steady_clock::now();
     while (true) {
         check_time_left();
-        // Progress is counted in events: bytes that complete none do not extend the wait.
-        const auto waited = duration_cast<milliseconds>(std::chrono::steady_clock::now() - last_event);
-        if (may_try_elsewhere() && waited >= event_timeout)
-            throw http::call_error(http::call_stage::after_header, "no event in time", true);
-        const auto wait = read_timeout(event_timeout - waited);
-        const auto part = co_await answer.next_part(wait);
+        const auto part = co_await read_part(answer);
         if (part.empty())
             break;
         if (!has_event) {
@@ -144,8 +144,9 @@
         if (events.empty())
             continue;
         co_await forward_events(answer, std::move(events));
+        // Progress is counted in events: bytes that complete none do not extend the wait.
         if (m_events.events() > events_before)
-            last_event = std::chrono::steady_clock::now();
+            on_progress();
     }
     if (m_events.has_partial_event())
         throw http::call_error(http::call_stage::after_header, "the stream ended within an event");
