Forwarding: Report real against expected time to the first event

Cause: the expected time stood in another event than the real one, and no metric showed their ratio.

Change: attempt_ended has expected_ms, and siskinwharf_first_event_ratio_bucket counts real / expected time for each service. attempt_end moves to a file of its own.

Result: estimate_metrics_test.cpp; no effect on decisions.

--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "crash_check.h"
+#include "estimate_metrics.h"
 #include "silence_watch.h"
 #include "siskinwharf/base/digest.h"
 #include "siskinwharf/base/event_log.h"
@@ -33,29 +34,6 @@
 
 } // namespace
 
-std::string_view to_string(attempt_end end)
-{
-    switch (end) {
-    case attempt_end::delivered:
-        return "delivered";
-    case attempt_end::aborted:
-        return "aborted";
-    case attempt_end::not_run:
-        return "not_run";
-    case attempt_end::not_sent:
-        return "not_sent";
-    case attempt_end::failed:
-        return "failed";
-    case attempt_end::timed_out:
-        return "timed_out";
-    case attempt_end::given_up:
-        return "given_up";
-    case attempt_end::caller_gone:
-        return "caller_gone";
-    }
-    return "unknown";
-}
-
 forwarded_request::forwarded_request(asio::any_io_executor executor, traffic_state& state,
                                      const call_codec& codec, http::client& client,
                                      telemetry::metrics_registry& metrics, call request,
@@ -215,12 +193,16 @@
                {"parts", dispatch::to_string(m_call.work.parts)},
                {"attempt", std::to_string(m_tried_endpoints.size())}});
     const auto end = co_await send(endpoint, ticket, chosen.expected);
+    if (ticket.first_event_at)
+        count_estimate(m_metrics, m_service->id, chosen.expected,
+                       duration_cast<milliseconds>(*ticket.first_event_at - ticket.started));
     log_event(
         event::attempt_ended,
         {{"request", m_call.id.value()},
          {"endpoint", endpoint.id.value()},
          {"outcome", std::string(to_string(end))},
          {"events", std::to_string(m_events.events())},
+         {"expected_ms", std::to_string(chosen.expected.count())},
          {"first_event_ms",
           ticket.first_event_at
               ? std::to_string(duration_cast<milliseconds>(*ticket.first_event_at - ticket.started).count())
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -8,6 +8,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include "attempt_end.h"
 #include "event_splitter.h"
 #include "siskinwharf/forwarding/call.h"
 #include "siskinwharf/forwarding/traffic_state.h"
@@ -18,20 +19,6 @@
 
 namespace siskinwharf::forwarding {
 
-/// Result of one attempt to forward a request to an endpoint.
-enum class attempt_end {
-    delivered,   ///< The caller received the whole response.
-    aborted,     ///< The caller received part of a response that will not be completed.
-    not_run,     ///< The endpoint reported that it did not run the request.
-    not_sent,    ///< No connection could be opened.
-    failed,      ///< The endpoint may have run the request.
-    timed_out,   ///< The request timed out; the endpoint may have run it.
-    given_up,    ///< This process ended it because the endpoint was silent; the endpoint may have run it.
-    caller_gone, ///< The caller disconnected.
-};
-
-[[nodiscard]] std::string_view to_string(attempt_end end);
-
 /// Handles one caller's request from its arrival to the end of the response.
 class forwarded_request {
 public:
