Dispatch: Learn how much of a long prompt was cached

Cause: the time to the first event was underestimated for long prompts. 80% of the shared prefix was taken for cached at the preferred endpoint, whatever the times showed, and attempts whose prompt peers had put into the cache dominated the mean of the prefill speed.

Change: the share is a moving average for each service, learned from the times of attempts that relied on it; these no longer count as samples of the speed. The speed is the mean of times per token.

--- a/Libraries/dispatch/include/siskinwharf/dispatch/load_balancer.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/load_balancer.h
@@ -45,6 +45,8 @@
     /// Expected time to the first event, or to the response at a service without engines.
     milliseconds expected{0};
     std::size_t candidates = 0; ///< Number of endpoints that were compared.
+    /// Tokens of the shared prefix of which only an assumed share is expected to be cached; 0 if it is known.
+    std::uint64_t uncertain_tokens = 0;
 };
 
 /// The request must not be sent.
@@ -65,7 +67,8 @@
     std::uint64_t prefill_tokens = 0; ///< Prompt tokens expected to be computed before the first event.
     std::uint64_t tokens_ahead = 0;   ///< Tokens that were waiting at the endpoint when the request was sent.
     std::uint32_t running_before = 0; ///< Requests at the endpoint when this one was sent.
-    std::uint64_t reserved_tokens = 0; ///< Prompt tokens and maximum answer tokens of the request.
+    std::uint64_t reserved_tokens = 0;  ///< Prompt tokens and maximum answer tokens of the request.
+    std::uint64_t uncertain_tokens = 0; ///< From the placement.
     monotonic_time started{};
     std::optional<monotonic_time> first_event_at;
 };
@@ -132,6 +135,9 @@
         double tokens_per_ms = 50; ///< Prompt tokens that an engine computes, including all delays.
         double uncontended_tokens_per_ms = 50; ///< Average that follows the faster attempts.
         double answer_ms = 40;                 ///< From the request to the end of the response.
+        /// Share of the shared prompt prefix that was cached at the preferred endpoint if this process had
+        /// sent nothing of it there. This process has no index of the prompts that its peers have sent there.
+        double cached_share = 0.8;
     };
 
     /// Endpoints that can serve a request.
@@ -154,6 +160,8 @@
                                      std::uint64_t prefill_tokens) const;
     /// Penalty for an endpoint of another region or failure domain.
     [[nodiscard]] double locality_penalty_ms(const endpoint_state& state) const;
+    /// Updates the share of an uncertain prefix that was cached, from the time in which it was computed.
+    static void learn_cached_share(latency_averages& times, const attempt_ticket& ticket, double waited_ms);
     /// Prompt tokens that are probably not in the engine's cache.
     [[nodiscard]] std::uint64_t prefill_tokens(const endpoint_state& state, const workload& work) const;
     [[nodiscard]] const latency_averages& averages_of(const service_id& service) const;
--- a/Libraries/dispatch/src/load_balancer.cpp
+++ b/Libraries/dispatch/src/load_balancer.cpp
@@ -33,9 +33,6 @@
 constexpr milliseconds maximum_retry_after{2'000};
 /// Retry delay when there is no endpoint: about the time that an endpoint takes to join or restart.
 constexpr milliseconds retry_after_without_endpoint{700};
-/// Fraction of the shared prompt prefix that is assumed to be cached at the preferred endpoint. This process
-/// has no index of the prompts that its peers have sent there.
-constexpr double assumed_cached_share = 0.8;
 /// Weight of the prefill time in the cost of an endpoint. Computing a prompt again also delays the requests
 /// behind it and is billed, so it counts more than the request's own waiting time.
 constexpr double prefill_weight = 2;
@@ -261,12 +258,13 @@
     const endpoint_state* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
     double best_expected = 0;
+    std::uint64_t best_uncertain = 0;
     for (const auto* state : candidates.endpoints) {
         auto prefill = prefill_tokens(*state, work);
-        if (state == candidates.preferred && prefill == work.prompt_tokens)
-            prefill -=
-                std::min(prefill, static_cast<std::uint64_t>(static_cast<double>(shared_prefix_tokens(work)) *
-                                                             assumed_cached_share));
+        const auto uncertain = state == candidates.preferred && prefill == work.prompt_tokens
+                                   ? std::min(prefill, shared_prefix_tokens(work))
+                                   : 0;
+        prefill -= static_cast<std::uint64_t>(static_cast<double>(uncertain) * times.cached_share);
         const auto expected = expected_ms(*state, wanted, times, work, prefill);
         const auto penalty = (state->failure_rate - candidates.lowest_failure_rate) *
                              static_cast<double>(m_settings.failure_penalty.count());
@@ -280,6 +278,7 @@
             best = state;
             best_cost = cost;
             best_expected = expected;
+            best_uncertain = uncertain;
         }
     }
     const auto share =
@@ -293,7 +292,7 @@
         return placement_refusal{refusal_reason::overloaded,
                                  std::clamp(excess, minimum_retry_after, maximum_retry_after), expected};
     }
-    return placement{best->record, expected, candidates.endpoints.size()};
+    return placement{best->record, expected, candidates.endpoints.size(), best_uncertain};
 }
 
 attempt_ticket load_balancer::start(const deployment::service& wanted, const endpoint_id& endpoint,
@@ -324,6 +323,15 @@
     return ticket;
 }
 
+void load_balancer::learn_cached_share(latency_averages& times, const attempt_ticket& ticket,
+                                       double waited_ms)
+{
+    const auto computed = waited_ms * times.uncontended_tokens_per_ms;
+    const auto cached = static_cast<double>(ticket.prefill_tokens + ticket.tokens_ahead) - computed;
+    const auto sample = std::clamp(cached / static_cast<double>(ticket.uncertain_tokens), 0.0, 1.0);
+    times.cached_share += sample_weight * (sample - times.cached_share);
+}
+
 void load_balancer::first_event(attempt_ticket& ticket, monotonic_time now)
 {
     if (ticket.first_event_at)
@@ -342,8 +350,15 @@
     if (tokens < minimum_sample_tokens || waited <= 0)
         return;
     auto& times = m_averages[ticket.service];
+    // How much of an uncertain prefix was computed is not known, so it shows nothing of the speed.
+    if (ticket.uncertain_tokens > 0) {
+        learn_cached_share(times, ticket, waited);
+        return;
+    }
     const auto sample = std::clamp(tokens / waited, minimum_tokens_per_ms, maximum_tokens_per_ms);
-    times.tokens_per_ms += sample_weight * (sample - times.tokens_per_ms);
+    // The mean of times per token: attempts whose prompt peers had put into the cache would dominate a mean
+    // of speeds.
+    times.tokens_per_ms = 1 / ((1 - sample_weight) / times.tokens_per_ms + sample_weight / sample);
     auto& uncontended = times.uncontended_tokens_per_ms;
     uncontended +=
         (sample > uncontended ? faster_sample_weight : slower_sample_weight) * (sample - uncontended);
--- a/Libraries/dispatch/tests/load_balancer_test.cpp
+++ b/Libraries/dispatch/tests/load_balancer_test.cpp
@@ -251,6 +251,56 @@
     CHECK(balancer.find(endpoint_id("k2"))->failure_rate == 0);
 }
 
+TEST_CASE("the expected time of a long prompt follows how much of it the preferred endpoint had cached")
+{
+    // Guards against a request that is expected to be fast because its peers may have sent its prefix there.
+    const bool is_cached = GENERATE(true, false);
+    auto balancer = make_balancer();
+    const monotonic_time start{};
+    const auto work_of = [](std::uint64_t subject) {
+        return workload{35'000, 400, {{subject, 32'500}, {subject + 1'000'000, 2'500}}, 0};
+    };
+    // The engine computes 50 tokens in 1 ms.
+    const milliseconds real{is_cached ? 90 : 740};
+    for (int index = 0; index < 60; ++index) {
+        const auto now = start + seconds(3 * index);
+        const auto work = work_of(static_cast<std::uint64_t>(index) + 10);
+        const auto chosen = std::get<placement>(balancer.place(model_service(), work, {}, seconds(5), now));
+        auto ticket = balancer.start(model_service(), chosen.endpoint.id, work, now);
+        ticket.uncertain_tokens = chosen.uncertain_tokens;
+        balancer.first_event(ticket, now + real);
+        balancer.finish(ticket, attempt_result::answered, now + seconds(1));
+    }
+    const auto last = std::get<placement>(
+        balancer.place(model_service(), work_of(500), {}, seconds(5), start + seconds(500)));
+    CHECK(last.uncertain_tokens == 32'500);
+    CHECK(last.expected > real * 7 / 10);
+    CHECK(last.expected < real * 13 / 10);
+}
+
+TEST_CASE(
+    "the expected time is the mean time if half of the prompts are cached without this process's knowledge")
+{
+    auto balancer = make_balancer();
+    const monotonic_time start{};
+    const auto work_of = [](std::uint64_t own) {
+        return workload{30'000, 400, {{own, 30'000}}, 0};
+    };
+    constexpr milliseconds computed{640};
+    constexpr milliseconds cached{50};
+    for (int index = 0; index < 60; ++index) {
+        const auto now = start + seconds(3 * index);
+        const auto work = work_of(static_cast<std::uint64_t>(index) + 10);
+        auto ticket = balancer.start(model_service(), endpoint_id("k1"), work, now);
+        balancer.first_event(ticket, now + (index % 2 == 0 ? computed : cached));
+        balancer.finish(ticket, attempt_result::answered, now + seconds(1));
+    }
+    const auto last = std::get<placement>(
+        balancer.place(model_service(), work_of(500), {}, seconds(5), start + seconds(500)));
+    CHECK(last.expected > (computed + cached) / 2 * 7 / 10);
+    CHECK(last.expected < (computed + cached) / 2 * 13 / 10);
+}
+
 TEST_CASE("the load of an endpoint's former incarnation does not count for the new one")
 {
     auto balancer = make_balancer();
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -179,6 +179,7 @@
     const auto endpoint = chosen.endpoint;
     m_tried_endpoints.push_back(endpoint.id);
     auto ticket = m_state.balancer().start(*m_service, endpoint.id, m_call.work, now);
+    ticket.uncertain_tokens = chosen.uncertain_tokens;
     m_state.count_prompt_tokens(m_service->id, ticket.prefill_tokens, now);
     log_event(event::request_placed,
               {{"request", m_call.id.value()},
