--- a/Libraries/dispatch/src/answer_pace.cpp
+++ b/Libraries/dispatch/src/answer_pace.cpp
@@ -4,6 +4,13 @@
 
 namespace siskinwharf::dispatch {
 
+namespace {
+
+/// The load of the engine may grow while an answer runs.
+constexpr double load_growth = 1.5;
+
+} // namespace
+
 answer_pace::answer_number answer_pace::begin(std::uint64_t answer_tokens, monotonic_time now)
 {
     m_running.insert({++m_last, {now, answer_tokens}});
@@ -43,7 +50,7 @@
     }
     if (tokens == 0 || answer_tokens == 0)
         return std::nullopt;
-    const auto ms_per_token = taken_ms / static_cast<double>(tokens);
+    const auto ms_per_token = load_growth * taken_ms / static_cast<double>(tokens);
     return milliseconds(std::llround(std::ceil(ms_per_token * static_cast<double>(answer_tokens))));
 }
 
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -9,6 +9,8 @@
 #include <fmt/format.h>
 
 #include "crash_check.h"
+#include "estimate_metrics.h"
+#include "silence_watch.h"
 #include "siskinwharf/base/digest.h"
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/base/hash.h"
@@ -26,11 +28,9 @@
 constexpr milliseconds connect_timeout{400};
 /// Number of failed connection attempts after which the request is refused.
 constexpr std::size_t maximum_unreachable_attempts = 3;
-/// An endpoint that takes this many times the expected time is considered hung.
-constexpr int hang_factor = 4;
-constexpr milliseconds minimum_read_timeout{500};
+/// Time between two checks of an endpoint's silence.
+constexpr milliseconds silence_check_interval{100};
 constexpr milliseconds retry_after_not_run{150};
-constexpr milliseconds retry_after_not_ready{700};
 /// Divisor of the remaining time up to which callers wait before they retry.
 constexpr int usable_time_divisor = 3;
 /// Time that a refusal takes to reach the caller at most, and the step in which `Retry-After` is written.
@@ -42,27 +42,6 @@
 
 } // namespace
 
-std::string_view to_string(attempt_end end)
-{
-    switch (end) {
-    case attempt_end::delivered:
-        return "delivered";
-    case attempt_end::aborted:
-        return "aborted";
-    case attempt_end::not_run:
-        return "not_run";
-    case attempt_end::not_sent:
-        return "not_sent";
-    case attempt_end::failed:
-        return "failed";
-    case attempt_end::timed_out:
-        return "timed_out";
-    case attempt_end::caller_gone:
-        return "caller_gone";
-    }
-    return "unknown";
-}
-
 forwarded_request::forwarded_request(asio::any_io_executor executor, traffic_state& state,
                                      const call_codec& codec, http::client& client,
                                      telemetry::metrics_registry& metrics, call request,
@@ -107,102 +86,6 @@
     m_has_ended = true;
 }
 
-std::optional<http::refusal> forwarded_request::admit()
-{
-    using http::refusal_type;
-    if (!m_state.is_ready())
-        return http::refusal{refusal_type::not_ready, "no configuration yet", outcome::not_run,
-                             retry_after_not_ready};
-    m_route = m_snapshot->find_route(m_call.host, m_call.message.path);
-    if (m_route == nullptr)
-        return http::refusal{refusal_type::not_found, "no route for this host and path"};
-    if (m_call.id.empty())
-        return http::refusal{refusal_type::malformed, "the request has no id"};
-    if (auto reason = authorize())
-        return reason;
-    const auto choice = hash64(m_call.id.value());
-    m_service = m_snapshot->find_service(deployment::choose_service(*m_route, choice));
-    if (m_service == nullptr)
-        return http::refusal{refusal_type::no_endpoint, "the service is not known", outcome::not_run,
-                             retry_after_not_ready};
-    const auto now = std::chrono::steady_clock::now();
-    if (auto reason = check_quarantine(now))
-        return reason;
-    if (auto reason = check_stop(now))
-        return reason;
-    const auto rank = m_account != nullptr && m_account->rank ? *m_account->rank : m_route->rank;
-    m_call.work.urgency = m_snapshot->urgency(rank);
-    m_state.count_request(m_service->id, now);
-    if (m_account == nullptr)
-        return std::nullopt;
-    const auto amount = traffic_state::quota_amount(*m_account, m_call);
-    const auto draw = unit_interval(mix64(choice));
-    if (!m_state.take_quota(*m_account, amount, draw, now)) {
-        log_quota_exceeded(amount, now);
-        return http::refusal{refusal_type::overloaded, "the account's quota is used up", outcome::not_run,
-                             m_state.quotas().retry_after(m_account->id, amount, draw, now)};
-    }
-    m_quota_taken = amount;
-    return std::nullopt;
-}
-
-std::optional<http::refusal> forwarded_request::check_quarantine(monotonic_time now) const
-{
-    if (!m_state.quarantine().is_empty() &&
-        m_state.quarantine().status(content(), now) == admission::content_status::quarantined)
-        return http::refusal{http::refusal_type::no_endpoint, "the request crashed endpoints",
-                             outcome::not_run};
-    if (const auto part = m_state.parts().find(dispatch::shared_part_ids(m_call.work.parts)))
-        return http::refusal{http::refusal_type::no_endpoint,
-                             "part " + dispatch::to_string({{*part, 0}}) + " of the prompt crashed endpoints",
-                             outcome::not_run};
-    return std::nullopt;
-}
-
-std::optional<http::refusal> forwarded_request::check_stop(monotonic_time now) const
-{
-    const auto& stop = m_state.stop();
-    if (!stop || now + expected_answer_time(now) <= stop->end)
-        return std::nullopt;
-    // Another process can take it at once.
-    return http::refusal{http::refusal_type::stopping, "this process stops before the answer would be whole",
-                         outcome::not_run, milliseconds(0)};
-}
-
-milliseconds forwarded_request::expected_answer_time(monotonic_time now) const
-{
-    const auto left = time_left().value_or(default_request_timeout);
-    // An estimate will do while callers cannot know that the process stops: they have few retries.
-    const bool may_estimate =
-        m_route->kind == deployment::request_kind::stream && m_state.stop() && now < m_state.stop()->drained;
-    if (!may_estimate)
-        return left;
-    const auto stream = m_state.pace(m_service->id).expected(m_call.work.answer_tokens, now);
-    return stream ? std::min(left, *stream) : left;
-}
-
-void forwarded_request::log_quota_exceeded(double amount, monotonic_time now) const
-{
-    const auto balance = m_state.quotas().balance(m_account->id, now);
-    log_event(event::quota_exceeded, {{"request", m_call.id.value()},
-                                      {"account", m_account->id.value()},
-                                      {"amount", fmt::format("{:.0f}", amount)},
-                                      {"allowed", fmt::format("{:.0f}", balance.allowed)},
-                                      {"remaining", fmt::format("{:.0f}", balance.remaining)},
-                                      {"asked_per_second", fmt::format("{:.0f}", balance.expected)},
-                                      {"age_ms", std::to_string(balance.age.count())}});
-}
-
-std::optional<http::refusal> forwarded_request::authorize()
-{
-    if (m_route->is_public || m_snapshot->content().accounts.empty())
-        return std::nullopt;
-    m_account = m_call.key ? m_snapshot->find_account(*m_call.key) : nullptr;
-    if (m_account == nullptr)
-        return http::refusal{http::refusal_type::unauthorized, "unknown API key"};
-    return std::nullopt;
-}
-
 asio::awaitable<void> forwarded_request::serve()
 {
     while (true) {
@@ -248,6 +131,7 @@
     const auto endpoint = chosen.endpoint;
     m_tried_endpoints.push_back(endpoint.id);
     auto ticket = m_state.balancer().start(*m_service, endpoint.id, m_call.work, now);
+    ticket.uncertain_tokens = chosen.uncertain_tokens;
     m_state.count_prompt_tokens(m_service->id, ticket.prefill_tokens, now);
     log_event(event::request_placed,
               {{"request", m_call.id.value()},
@@ -262,12 +146,16 @@
                {"parts", dispatch::to_string(m_call.work.parts)},
                {"attempt", std::to_string(m_tried_endpoints.size())}});
     const auto end = co_await send(endpoint, ticket, chosen.expected);
+    if (ticket.first_event_at)
+        count_estimate(m_metrics, m_service->id, chosen.expected,
+                       duration_cast<milliseconds>(*ticket.first_event_at - ticket.started));
     log_event(
         event::attempt_ended,
         {{"request", m_call.id.value()},
          {"endpoint", endpoint.id.value()},
          {"outcome", std::string(to_string(end))},
          {"events", std::to_string(m_events.events())},
+         {"expected_ms", std::to_string(chosen.expected.count())},
          {"first_event_ms",
           ticket.first_event_at
               ? std::to_string(duration_cast<milliseconds>(*ticket.first_event_at - ticket.started).count())
@@ -291,35 +179,52 @@
     order.time_left = time_left();
     order.resume_after = m_events.last_id() ? m_events.last_id() : m_call.resume_after;
     const http::address target{endpoint.ip, endpoint.port};
-    const auto wait = read_timeout(expected * hang_factor);
+    const auto wait = read_timeout();
     const http::call_times times{std::min(connect_timeout, wait), wait};
     auto message = m_codec.encode(m_call, order);
+    if (!m_is_caller_gone)
+        m_control = std::make_shared<http::call_control>();
+    m_verdict = dispatch::silence_verdict::none;
+    m_is_reading = true;
+    m_attempt_number = m_state.balancer().activity().start(endpoint.id, m_service->id, expected,
+                                                           std::chrono::steady_clock::now());
+    ++m_sent_attempts;
+    std::optional<silence_watch> watch;
+    if (may_try_elsewhere())
+        watch.emplace(m_executor, silence_check_interval, [this] { return give_up_if_silent(); });
     std::unique_ptr<http::part_stream> answer;
     auto end = attempt_end::failed;
     try {
         answer = co_await m_client.open_parts(target, std::move(message), times, m_control);
-        ++m_sent_attempts;
+        m_is_reading = false;
+        on_progress();
         end = co_await receive(endpoint, *answer, ticket);
     } catch (const http::call_error& error) {
-        if (error.stage() == http::call_stage::before_send)
+        if (error.stage() == http::call_stage::before_send) {
             end = attempt_end::not_sent;
-        else if (error.stage() == http::call_stage::after_send)
-            ++m_sent_attempts;
+            --m_sent_attempts;
+        }
         if (m_is_caller_gone)
             end = attempt_end::caller_gone;
+        else if (m_verdict != dispatch::silence_verdict::none && end == attempt_end::failed)
+            end = attempt_end::given_up;
         else if (const auto left = time_left();
                  left && *left <= minimum_time_left && end == attempt_end::failed)
             end = attempt_end::timed_out;
-        log_event(
-            event::attempt_broken,
-            {{"request", m_call.id.value()}, {"endpoint", endpoint.id.value()}, {"reason", error.what()}});
+        log_event(event::attempt_broken,
+                  {{"request", m_call.id.value()},
+                   {"endpoint", endpoint.id.value()},
+                   {"reason", end == attempt_end::given_up ? "given up, " + std::string(to_string(m_verdict))
+                                                           : std::string(error.what())}});
     } catch (const http::caller_disconnected&) {
         m_is_caller_gone = true;
         end = attempt_end::caller_gone;
     }
+    watch.reset();
     const auto now = std::chrono::steady_clock::now();
     if (m_running_answer)
         m_state.pace(m_service->id).end(*std::exchange(m_running_answer, std::nullopt), now);
+    m_state.balancer().activity().finish(m_attempt_number, end == attempt_end::delivered, now);
     auto result = dispatch::attempt_result::cancelled;
     if (end == attempt_end::delivered)
         result = dispatch::attempt_result::answered;
@@ -329,10 +234,12 @@
         result = dispatch::attempt_result::unreachable;
     else if (end == attempt_end::failed || end == attempt_end::aborted)
         result = dispatch::attempt_result::broken;
+    else if (end == attempt_end::given_up && m_verdict == dispatch::silence_verdict::hung)
+        result = dispatch::attempt_result::silent;
     balancer.finish(ticket, result, now);
     if (end != attempt_end::not_run && end != attempt_end::not_sent)
         m_may_have_run = true;
-    if (result == dispatch::attempt_result::broken)
+    if (result == dispatch::attempt_result::broken || result == dispatch::attempt_result::silent)
         start_crash_check(endpoint);
     if (end == attempt_end::delivered && !m_state.quarantine().is_empty())
         static_cast<void>(m_state.quarantine().on_finished(content(), now));
@@ -355,7 +262,7 @@
         return ++m_unreachable_attempts < maximum_unreachable_attempts;
     if (end == attempt_end::timed_out || m_sent_attempts >= m_route->maximum_attempts)
         return false;
-    if (end == attempt_end::failed && !is_repeatable())
+    if ((end == attempt_end::failed || end == attempt_end::given_up) && !is_repeatable())
         return false;
     if (std::exchange(m_has_reserved_retry, false))
         return true;
@@ -494,15 +401,44 @@
     return taken > target ? left : std::min(target - taken, left);
 }
 
-milliseconds forwarded_request::read_timeout(milliseconds usual) const
+void forwarded_request::on_progress()
+{
+    m_state.balancer().activity().on_progress(m_attempt_number, std::chrono::steady_clock::now());
+}
+
+bool forwarded_request::give_up_if_silent()
+{
+    // While the caller takes what has arrived, the endpoint is not waited for.
+    if (!m_is_reading)
+        return false;
+    const auto now = std::chrono::steady_clock::now();
+    const auto left = time_left().value_or(default_request_timeout);
+    const auto verdict = m_state.balancer().activity().assess(m_attempt_number, left, now);
+    if (verdict == dispatch::silence_verdict::none || !is_served_elsewhere(now))
+        return false;
+    // Without a retry the request stays where it is, because its endpoint may go on.
+    if (!m_has_reserved_retry && !m_state.try_repeat(m_service->id, now))
+        return false;
+    m_has_reserved_retry = true;
+    m_verdict = verdict;
+    if (verdict == dispatch::silence_verdict::hung)
+        m_state.balancer().activity().on_given_up(m_attempt_number, now);
+    m_control->cancel();
+    return true;
+}
+
+bool forwarded_request::is_served_elsewhere(monotonic_time now) const
 {
     const auto left = time_left().value_or(default_request_timeout);
-    return may_try_elsewhere() ? std::min(left, std::max(usual, minimum_read_timeout)) : left;
+    const auto decision =
+        m_state.balancer().place(*m_service, m_call.work, m_tried_endpoints, response_start_budget(), now);
+    const auto* other = std::get_if<dispatch::placement>(&decision);
+    return other != nullptr && other->expected < left && left >= minimum_attempt_time;
 }
 
 bool forwarded_request::may_try_elsewhere() const
 {
-    return is_repeatable() && m_sent_attempts + 1 <= m_route->maximum_attempts;
+    return is_repeatable() && m_sent_attempts < m_route->maximum_attempts;
 }
 
 admission::content_key forwarded_request::content() const
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -8,6 +8,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include "attempt_end.h"
 #include "event_splitter.h"
 #include "siskinwharf/forwarding/call.h"
 #include "siskinwharf/forwarding/traffic_state.h"
@@ -18,19 +19,6 @@
 
 namespace siskinwharf::forwarding {
 
-/// Result of one attempt to forward a request to an endpoint.
-enum class attempt_end {
-    delivered,   ///< The caller received the whole response.
-    aborted,     ///< The caller received part of a response that will not be completed.
-    not_run,     ///< The endpoint reported that it did not run the request.
-    not_sent,    ///< No connection could be opened.
-    failed,      ///< The endpoint may have run the request.
-    timed_out,   ///< The request timed out; the endpoint may have run it.
-    caller_gone, ///< The caller disconnected.
-};
-
-[[nodiscard]] std::string_view to_string(attempt_end end);
-
 /// What the responses of all endpoints that contribute to one stream have in common.
 struct stream_format {
     int status = 0;
@@ -123,8 +111,16 @@
     [[nodiscard]] milliseconds usable_retry_after(milliseconds wait) const;
     /// Time left for the response to start, from the latency target of the route and the time left.
     [[nodiscard]] milliseconds response_start_budget() const;
-    /// Maximum wait for the next bytes: the time left, or `usual` if another endpoint could take over.
-    [[nodiscard]] milliseconds read_timeout(milliseconds usual) const;
+    /// Reads what arrives next, up to the deadline.
+    boost::asio::awaitable<std::string> read_part(http::part_stream& answer);
+    /// Maximum wait for the next bytes.
+    [[nodiscard]] milliseconds read_timeout() const { return time_left().value_or(default_request_timeout); }
+    /// Ends the present attempt if its endpoint is silent for too long and another can serve the request.
+    /// Returns whether it was ended.
+    bool give_up_if_silent();
+    /// Whether another endpoint is expected to serve the request before its deadline.
+    [[nodiscard]] bool is_served_elsewhere(monotonic_time now) const;
+    void on_progress();
     [[nodiscard]] admission::content_key content() const;
 
     boost::asio::any_io_executor m_executor;
@@ -142,7 +138,7 @@
     const deployment::service* m_service = nullptr;
     double m_quota_taken = 0;
     std::vector<endpoint_id> m_tried_endpoints;
-    std::size_t m_sent_attempts = 0;        ///< Attempts that reached an endpoint.
+    std::size_t m_sent_attempts = 0; ///< Attempts that may have reached an endpoint, with the present one.
     std::size_t m_unreachable_attempts = 0; ///< Attempts without a connection.
     bool m_may_have_run = false;
     bool m_has_reserved_retry = false; ///< A retry has already been taken from the budget.
@@ -154,7 +150,10 @@
     bool m_has_ended = false; ///< `run` has returned.
     /// Error response of an endpoint, which is sent if no retry succeeds.
     std::optional<http::response> m_failure_answer;
-    std::shared_ptr<http::call_control> m_control;
+    std::shared_ptr<http::call_control> m_control; ///< Of the present attempt.
+    dispatch::endpoint_activity::attempt_number m_attempt_number = 0;
+    bool m_is_reading = false; ///< Bytes of the endpoint are waited for.
+    dispatch::silence_verdict m_verdict = dispatch::silence_verdict::none; ///< On the present attempt.
     event_splitter m_events;
     /// Format of the stream of which the caller has received the beginning.
     std::optional<stream_format> m_stream_format;
--- a/Libraries/forwarding/src/forwarded_request_relay.cpp
+++ b/Libraries/forwarding/src/forwarded_request_relay.cpp
@@ -13,10 +13,6 @@
 
 namespace {
 
-using std::chrono::duration_cast;
-
-/// Time without an event in a resumable stream after which another endpoint takes over.
-constexpr milliseconds event_timeout{1'300};
 constexpr std::size_t maximum_response_size = 16U << 20U;
 /// A response up to this size is held until it is whole, so that another endpoint can take over before. A
 /// larger one is passed on as it arrives, so that many at once fit into memory.
@@ -119,13 +115,22 @@
         throw http::call_error(http::call_stage::after_header, "the response did not end in time", true);
 }
 
+asio::awaitable<std::string> forwarded_request::read_part(http::part_stream& answer)
+{
+    m_is_reading = true;
+    auto part = co_await answer.next_part(read_timeout());
+    m_is_reading = false;
+    co_return part;
+}
+
 asio::awaitable<forwarded_request::body_end> forwarded_request::read_body(http::part_stream& answer,
                                                                           http::response& whole)
 {
     std::size_t size = 0;
     while (true) {
         check_time_left();
-        auto part = co_await answer.next_part(read_timeout(default_request_timeout));
+        auto part = co_await read_part(answer);
+        on_progress();
         if (part.empty())
             break;
         size += part.size();
@@ -137,6 +142,7 @@
         if (!m_writer.started())
             co_await m_writer.begin(whole.status, whole.headers);
         co_await m_writer.write(std::exchange(whole.body, {}));
+        on_progress();
     }
     if (!m_writer.started())
         co_return body_end::held;
@@ -178,15 +184,9 @@
     check_continuation(answer);
     const auto events_at_start = m_events.events();
     bool has_event = false;
-    auto last_event = std::chrono::steady_clock::now();
     while (true) {
         check_time_left();
-        // Progress is counted in events: bytes that complete none do not extend the wait.
-        const auto waited = duration_cast<milliseconds>(std::chrono::steady_clock::now() - last_event);
-        if (may_try_elsewhere() && waited >= event_timeout)
-            throw http::call_error(http::call_stage::after_header, "no event in time", true);
-        const auto wait = read_timeout(event_timeout - waited);
-        const auto part = co_await answer.next_part(wait);
+        const auto part = co_await read_part(answer);
         if (part.empty())
             break;
         if (!has_event) {
@@ -206,8 +206,9 @@
         if (m_events.is_out_of_place())
             throw http::call_error(http::call_stage::after_header,
                                    "the resumed stream sent an event without a place");
+        // Progress is counted in events: bytes that complete none do not extend the wait.
         if (m_events.events() > events_before)
-            last_event = std::chrono::steady_clock::now();
+            on_progress();
     }
     check_stream_end(answer, m_events.events() > events_at_start);
     if (m_events.events() > 0)
