Soak: Use open connections until the process is gone

Cause: callers lost whole requests beside stops and changes of configuration without any fault, and the soak did not see it. Its callers sent again at once, planned stops were mixed with faults, and a broken answer counted as nothing.

Change: each seed plays planned work alone first: SIGTERM, SIGHUP, restarts and configurations, one upon the other. Callers keep connections open for as long as they may, send until the process has exited, late, in halves, and ask for long streams. New checks: LOST, crossed requests (at most 1 in 200), blamed (a sound request answered with 400 and the like) and unfinished (a placed request without an end in the log). The file is split by job; the checks of the faults' part are as they were, and its seeds are those of before.

--- a/Tests/soak/soak.py
+++ b/Tests/soak/soak.py
@@ -1,102 +1,75 @@
 #!/usr/bin/env python3
 """Randomized fault soak of forwarding processes: real programs on loopback, stand-ins around them, faults from outside.
 
-Callers keep using their connections while processes are killed, paused, stopped and restarted, the store fails in
-several ways for some processes or all, endpoints crash, leave and break answers off, and configurations change. The
-promises are checked from what callers and endpoints see. A seed repeats the plan of faults and requests; the
-operating system's timing still differs between runs. Usage: soak.py [--seeds 7,8] [--seconds 20] [--build build]
+First only planned work: processes are stopped, restarted and reloaded and configurations change, one upon the other, while
+callers use their connections for as long as they may. Then faults: processes are killed, paused and stopped, the store fails
+for some processes or all, endpoints crash, leave and break answers off. The promises are checked from what callers and
+endpoints see. A seed repeats the plans of work, faults and requests; the operating system's timing still differs between
+runs. Usage: soak.py [--seeds 7,8] [--seconds 20] [--planned-seconds 20] [--processes 7] [--build build]
 """
 
 import argparse
 import asyncio
 import collections
 import json
-import os
 import pathlib
 import random
 import shutil
-import signal
-import subprocess
 import sys
 import tempfile
 import time
 
-from endpoint_standin import DRAIN_S, EVENTS, Endpoint, Runs, expected_body, signature_of
-from http_text import Broken, message, read_body, read_chunk, read_head
-from platform_standin import Platform, StoreFault
+import checks
+from answers import Answers, Violations
+from callers import BusyCaller
+from endpoint_standin import Endpoint, Runs
+from fault_plan import FaultPlan
+from planned_work import PlannedWork
+from platform_standin import Platform
+from pooled_callers import PooledCaller, Tally
+from process import GRACE_S, Process
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 ZONES = {"kingston-a": "kingston", "montego-a": "montego"}
-PROCESSES = ["kingston-a"] * 5 + ["montego-a"] * 2
+SECOND_ZONE_EVERY = 7 / 2 # Processes for each one that is in the second zone.
 KEY = "key-of-the-bakery"
-CONTACT_S = 4.0    # A process that was left alone for this long is bound by the times below.
-DOWNGRADE_S = 0.25 # Of answers by an older version after one by a newer version.
-CONFIG_S = 3.0     # From the store's answer until a configuration is in force.
-GRACE_S = 8.0      # From the request to stop until the process is killed.
 RECOVERY_S = 12.0  # From the end of the last fault until callers are served.
-SLACK_S = 0.5      # For the scheduling of the machine that runs the soak.
-
-
-class Violations:
-    """Broken promises by kind, with the first few texts of each."""
-
-    def __init__(self):
-        self.found = collections.defaultdict(list)
-
-    def add(self, kind, text):
-        self.found[kind].append(text)
-
-
-class Process:
-    """One forwarding process and what was done to it."""
-
-    def __init__(self, soak, number, zone):
-        self.name, self.zone = f"entry-{number}", zone
-        self.ip = f"127.{20 + os.getpid() % 200}.{soak.run}.{number + 1}"
-        self.fault = StoreFault()
-        self.handle = None
-        self.incarnation = 0
-        self.disturbed_until = 0.0
-        self.seen_version, self.seen_at = 0, 0.0
-
-    def start(self, soak):
-        path = soak.directory / f"{self.name}.toml"
-        path.write_text(soak.settings_of(self))
-        self.incarnation += 1
-        self.seen_version, self.seen_at = 0, 0.0
-        with open(soak.directory / f"{self.name}.log", "ab") as log:
-            self.handle = subprocess.Popen([soak.program, "--forward"], stdout=log, stderr=log, cwd=soak.directory,
-                                           env={"SISKINWHARF_SETTINGS": str(path), "PATH": os.environ["PATH"]})
-
-    def disturb(self, seconds=0.0):
-        self.disturbed_until = max(self.disturbed_until, time.monotonic() + seconds)
-
-    def is_in_touch(self, since):
-        return self.disturbed_until + CONTACT_S < since
-
-    def end(self, number=signal.SIGKILL):
-        if self.handle.poll() is None:
-            self.handle.send_signal(signal.SIGCONT)
-            self.handle.send_signal(number)
+LEAST_ENDPOINTS = 4
+PROCESSES_PER_ENDPOINT = 2
+BUSY_CALLERS = 12
+POOLED_CALLERS = 12
+CONNECTIONS_PER_PROCESS = 24 # Of all pooled callers, on average.
+MOST_CONNECTIONS = 480 # This program plays all callers and endpoints on one core.
+START_PER_PROCESS_S = 0.1
+DEFAULT_IDLE_MS = 20000
+LONG_ROUTE_MS = 20000
 
 
 class Soak:
     def __init__(self, seed, run, arguments):
         self.seed, self.run, self.seconds = seed, run, arguments.seconds
+        self.planned_seconds, self.checks_wishes = arguments.planned_seconds, arguments.wishes
         self.random = random.Random(seed)
         self.program = str((ROOT / arguments.build / "bin" / "siskinwharfd").resolve())
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="siskinwharf-soak-"))
         self.violations = Violations()
         self.platform = Platform(self.violations)
         self.runs = Runs()
-        self.processes = [Process(self, number, zone) for number, zone in enumerate(PROCESSES)]
+        first, second = ZONES
+        in_second = int(arguments.processes / SECOND_ZONE_EVERY)
+        zones = [first] * (arguments.processes - in_second) + [second] * in_second
+        self.processes = [Process(self, number, zone) for number, zone in enumerate(zones)]
         self.endpoints = []
         self.number = 0
         self.version = 0
         self.acknowledged = {}
         self.outcomes = collections.Counter()
         self.late_outcomes = collections.Counter()
-        self.refused = []
+        self.answers = Answers(self.violations)
+        self.tally = Tally()
+        self.deadlines_ms = {}
+        self.idle_limit_s = DEFAULT_IDLE_MS / 1000
+        self.idle_limits_s = [self.idle_limit_s]
         self.non_idempotent = set()
         self.recovered_at = None
         self.store_disturbed_until = 0.0
@@ -129,280 +102,115 @@
 duties = ["usage_report"]
 """
 
-    def write_configuration(self):
+    def write_configuration(self, idle_ms=DEFAULT_IDLE_MS, timeout_ms=4000, max_attempts=2, quota=None):
         """Each version has a route of its own and lacks that of the version before the last one."""
         self.version += 1
         routes = [("/order/", "non_idempotent", False), ("/read/", "idempotent", False), ("/stream/", "streaming", False),
-                  ("/stream/resumable/", "streaming", True), (f"/v{self.version}/", "idempotent", False)]
-        listed = [{"name": prefix, "host": "a.example", "pathPrefix": prefix, "type": kind, "timeoutMs": 4000,
-                   "latencyTargetMs": 1000, "maxAttempts": 2, "priority": 1, "service": "desk", "resumable": resumable}
-                  for prefix, kind, resumable in routes]
+                  ("/stream/resumable/", "streaming", True), ("/long/", "streaming", False),
+                  (f"/v{self.version}/", "idempotent", False)]
+        listed = [{"name": prefix, "host": "a.example", "pathPrefix": prefix, "type": kind,
+                   "timeoutMs": LONG_ROUTE_MS if prefix == "/long/" else timeout_ms,
+                   "latencyTargetMs": 1000, "maxAttempts": max_attempts, "priority": 1, "service": "desk",
+                   "resumable": resumable} for prefix, kind, resumable in routes]
         text = json.dumps({"version": self.version, "routeList": listed, "services": [{"name": "desk"}],
-                           "tenants": [{"name": "bakery", "apiKeys": [KEY]}], "limits": {"idleTimeoutMs": 20000}})
+                           "tenants": [{"name": "bakery", "apiKeys": [KEY], **(quota or {})}],
+                           "limits": {"idleTimeoutMs": idle_ms}})
         self.platform.put("op", "config", text.encode())
         self.acknowledged[self.version] = time.monotonic()
+        self.idle_limit_s = idle_ms / 1000
+        self.idle_limits_s.append(self.idle_limit_s)
 
     async def add_endpoint(self):
         self.number += 1
         endpoint = Endpoint(self.platform, self.runs, self.random, self.random.choice(list(ZONES)), self.number)
+        endpoint.on_crash = self.replace_endpoint
         await endpoint.start()
         self.endpoints.append(endpoint)
 
+    def replace_endpoint(self, endpoint):
+        if endpoint in self.endpoints:
+            self.endpoints.remove(endpoint)
+            self.spawn(self.add_endpoint())
+
     def spawn(self, coroutine):
         task = asyncio.ensure_future(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    # What callers do and see.
-
-    async def caller(self, number):
-        connection = None
-        rng = random.Random(self.seed * 1000 + number)
-        while time.monotonic() < self.ends_at:
-            process = rng.choice(self.processes)
-            path = rng.choice(["/order/", "/read/", "/stream/", "/stream/resumable/", "version"])
-            if connection is None or rng.random() < 0.1:
-                if connection:
-                    connection[1].close()
-                connection = await self.connect(process)
-            if connection is None:
-                await asyncio.sleep(0.1)
-                continue
-            if not await self.request(connection, path, f"{number}-{rng.getrandbits(48):x}"):
-                connection[1].close()
-                connection = None
-            await asyncio.sleep(rng.uniform(0, 0.1))
-        if connection:
-            connection[1].close()
-
-    async def connect(self, process):
-        try:
-            return *await asyncio.wait_for(asyncio.open_connection(process.ip, 8221), 1), process, process.incarnation
-        except (OSError, asyncio.TimeoutError):
-            return None
-
-    async def request(self, connection, path, request_id):
-        """Sends one request; returns whether the connection can be used again."""
-        reader, writer, process, incarnation = connection
-        version = max(self.version - self.random.choice([0, 1]), 1) if path == "version" else None
-        if version is not None:
-            path = f"/v{version}/"
-        sent = time.monotonic()
-        method = "GET" if path == "/read/" or version is not None else "POST"
-        headers = {"Host": "a.example", "Siskinwharf-Attempt-Id": request_id, "Siskinwharf-Credential": KEY,
-                   "Siskinwharf-Deadline-Ms": "4000"}
-        if path in ("/order/", "/stream/"):
-            self.non_idempotent.add(request_id)
-        answer_headers = {}
-        try:
-            writer.write(message(f"{method} {path}{request_id} HTTP/1.1", headers))
-            (_, status, _), answer_headers = await asyncio.wait_for(read_head(reader), 6)
-            outcome = await asyncio.wait_for(
-                self.read_answer(int(status), answer_headers, reader, path, request_id), 6)
-        except (Broken, OSError, asyncio.TimeoutError):
-            outcome = "broken"
-        if version is not None:
-            self.check_version(process, incarnation, version, outcome, sent)
-        else:
-            self.outcomes[outcome] += 1
-            if self.recovered_at and sent > self.recovered_at:
-                self.late_outcomes[outcome] += 1
-        return outcome != "broken" and answer_headers.get("connection", "").lower() != "close"
-
-    async def read_answer(self, status, headers, reader, path, request_id):
-        if status == 200 and path.startswith("/stream/"):
-            return await self.read_stream(headers, reader, request_id)
-        body = await read_body(reader, headers)
-        signature = headers.get("siskinwharf-response-signature", "")
-        if status == 200:
-            instance = signature.rpartition(".")[2]
-            if signature != signature_of(request_id, instance) or body != expected_body(request_id, instance):
-                self.violations.add("mixed", f"{request_id}: an answer that is not its own and whole")
-            return "served"
-        if status in (408, 421, 429, 503):
-            self.refused.append(request_id)
-        return str(status)
-
-    async def read_stream(self, headers, reader, request_id):
-        if not headers.get("siskinwharf-response-signature", "").startswith(request_id + "."):
-            self.violations.add("mixed", f"{request_id}: a stream of another request")
-        text = b""
-        while chunk := await read_chunk(reader):
-            text += chunk
-        ids = [line[4:] for line in text.decode().split("\n") if line.startswith("id: ")]
-        if ids != [str(each) for each in range(1, EVENTS + 1)]:
-            self.violations.add("order", f"{request_id}: a complete stream with the events {','.join(ids)}")
-        return "served"
-
-    def check_version(self, process, incarnation, version, outcome, sent):
-        """A process neither goes back to an older version nor takes longer than it may."""
-        if incarnation != process.incarnation or outcome == "broken":
-            return
-        has_route = outcome != "404"
-        if outcome == "served" and version > process.seen_version:
-            process.seen_version, process.seen_at = version, time.monotonic()
-        is_older = (version < process.seen_version and outcome == "served") or \
-            (version == process.seen_version == self.version and not has_route)
-        if is_older and sent > process.seen_at + DOWNGRADE_S + SLACK_S:
-            self.violations.add("config", f"{process.name}: went back from version {process.seen_version}")
-        changed = self.acknowledged.get(version if version == self.version else version + 1)
-        is_bound = process.is_in_touch(changed) and process.is_in_touch(sent) and \
-            self.store_disturbed_until + CONTACT_S < changed and sent > changed + CONFIG_S + SLACK_S
-        if is_bound and has_route != (version == self.version) and outcome in ("served", "404"):
-            self.violations.add("config", f"{process.name}: version {version} answered {outcome}, {self.version} is in "
-                                          f"force for {sent - changed:.1f} s")
-
-    # What is done to the system.
-
-    async def faults(self):
-        actions = [self.kill, self.pause, self.stop, self.kill_all, self.fail_store, self.fail_store_for_all,
-                   self.forget, self.crash_endpoint, self.drain_endpoint, self.fail_endpoint, self.reconfigure,
-                   self.reconfigure]
-        while time.monotonic() < self.faults_end_at:
-            action = self.random.choice(actions)
-            print(f"  {time.monotonic() - self.began:5.1f} s {action.__name__}", flush=True)
-            self.spawn(action())
-            await asyncio.sleep(self.random.uniform(0.1, 2.0))
-
-    async def kill(self):
-        process = self.random.choice(self.processes)
-        process.end()
-        process.handle.wait()
-        await asyncio.sleep(self.random.uniform(0.2, 1.5))
-        self.restart(process)
-
-    def restart(self, process):
-        if process.handle.poll() is not None:
-            process.start(self)
-        process.disturb(1.0)
-
-    async def kill_all(self):
-        for process in self.processes:
-            process.end()
-        for process in self.processes:
-            process.handle.wait()
-        await asyncio.sleep(self.random.uniform(0.1, 1.0))
-        for process in self.processes:
-            self.restart(process)
-
-    async def pause(self):
-        process = self.random.choice(self.processes)
-        seconds = self.random.uniform(0.5, 6.0)
-        process.disturb(seconds + 1.0)
-        handle = process.handle
-        handle.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        if handle.poll() is None:
-            handle.send_signal(signal.SIGCONT)
-
-    async def stop(self):
-        process = self.random.choice(self.processes)
-        handle = process.handle
-        process.disturb(GRACE_S + 1.0)
-        process.end(signal.SIGTERM)
-        for _ in range(int(GRACE_S * 20)):
-            if handle.poll() is not None:
-                break
-            await asyncio.sleep(0.05)
-        if handle.poll() is None:
-            handle.kill()
-            handle.wait()
-        self.restart(process)
-
-    async def fail_store(self, processes=None):
-        chosen = processes or self.random.sample(self.processes, self.random.randint(1, 3))
-        kind = self.random.choice(["busy", "reset", "silent", "slow", "lost"])
-        seconds = self.random.uniform(1.0, 5.0)
-        for process in chosen:
-            process.fault.kind = kind
-            process.disturb(seconds)
-        if len(chosen) == len(self.processes):
-            self.store_disturbed_until = max(self.store_disturbed_until, time.monotonic() + seconds)
-        await asyncio.sleep(seconds)
-        for process in chosen:
-            process.fault.kind = "none"
-
-    async def fail_store_for_all(self):
-        await self.fail_store(self.processes)
-
-    async def forget(self):
-        self.platform.forget_history()
-
-    async def crash_endpoint(self):
-        endpoint = self.random.choice(self.endpoints)
-        if endpoint.leaving_since is None:
-            self.endpoints.remove(endpoint)
-            endpoint.crash()
-            await self.add_endpoint()
-
-    async def drain_endpoint(self):
-        endpoint = self.random.choice(self.endpoints)
-        if endpoint.leaving_since is None:
-            self.endpoints.remove(endpoint)
-            await self.add_endpoint()
-            await endpoint.leave()
-
-    async def fail_endpoint(self):
-        endpoint = self.random.choice(self.endpoints)
-        endpoint.fault = self.random.choice(["shed", "lost", "cut", "slow"])
-        await asyncio.sleep(self.random.uniform(1.0, 4.0))
-        endpoint.fault = "none"
-
-    async def reconfigure(self):
-        self.write_configuration()
+    def caller_headers(self, request_id, time_ms):
+        self.deadlines_ms[request_id] = time_ms
+        return {"Host": "a.example", "Siskinwharf-Attempt-Id": request_id, "Siskinwharf-Credential": KEY,
+                "Siskinwharf-Deadline-Ms": str(time_ms)}
 
     # A run.
 
-    def check_end(self):
-        for request_id, count in self.runs.counts.items():
-            if count > 1 and request_id in self.non_idempotent:
-                self.violations.add("twice", f"{request_id} ran {count} times")
-        for request_id in self.refused:
-            if self.runs.count(request_id):
-                self.violations.add("refused", f"{request_id} was called not run and ran")
-        disturbed = max(process.disturbed_until for process in self.processes)
-        for arrived, leaving_since, request_id in self.runs.arrivals:
-            is_late = leaving_since is not None and arrived > leaving_since + DRAIN_S + SLACK_S
-            if is_late and leaving_since > max(disturbed, self.store_disturbed_until) + CONTACT_S:
-                self.violations.add("drain", f"{request_id} reached an endpoint {arrived - leaving_since:.1f} s after its notice")
-        served, total = self.late_outcomes["served"], sum(self.late_outcomes.values())
-        if total < 20 or served < 0.9 * total:
-            self.violations.add("recovery", f"{served} of {total} served after all faults: {dict(self.late_outcomes)}")
-
-    async def play(self):
+    async def start(self):
         for process in self.processes:
             process.store_port = await self.platform.listen_store(process.fault)
         self.duty_port = await self.platform.listen_duties()
         self.write_configuration()
-        for _ in range(4):
+        for _ in range(max(LEAST_ENDPOINTS, len(self.processes) // PROCESSES_PER_ENDPOINT)):
             await self.add_endpoint()
         for process in self.processes:
             process.start(self)
-        await asyncio.sleep(2)
+        await asyncio.sleep(2 + START_PER_PROCESS_S * len(self.processes))
+
+    async def play_planned_work(self):
+        size = max(1, min(CONNECTIONS_PER_PROCESS * len(self.processes), MOST_CONNECTIONS) // POOLED_CALLERS)
+        self.planned_began = time.monotonic()
+        work_ends_at = self.planned_began + self.planned_seconds
+        self.planned_ends_at = work_ends_at + GRACE_S + 2
+        callers = [asyncio.ensure_future(PooledCaller(self, number, size).play()) for number in range(POOLED_CALLERS)]
+        await PlannedWork(self).play(work_ends_at)
+        while self.tasks:
+            await asyncio.sleep(0.1)
+        self.planned_ends_at = time.monotonic()
+        await asyncio.gather(*callers)
+        self.write_configuration()
+
+    async def play_faults(self):
         self.began = time.monotonic()
         self.faults_end_at = self.began + self.seconds
         self.ends_at = self.faults_end_at + GRACE_S + RECOVERY_S + 4
-        callers = [asyncio.ensure_future(self.caller(number)) for number in range(12)]
-        await self.faults()
+        callers = [asyncio.ensure_future(BusyCaller(self, number).play()) for number in range(BUSY_CALLERS)]
+        plan = FaultPlan(self)
+        await plan.play()
         while self.tasks:
             await asyncio.sleep(0.1)
         self.recovered_at = time.monotonic() + RECOVERY_S
         await asyncio.sleep(RECOVERY_S / 2)
         self.write_configuration()
-        await self.drain_endpoint()
+        await plan.drain_endpoint()
         self.ends_at = min(self.ends_at, max(time.monotonic(), self.recovered_at) + 4)
         await asyncio.gather(*callers)
-        self.check_end()
+        checks.check_recovery(self)
 
-    def clean_up(self):
+    async def play(self):
+        await self.start()
+        if self.planned_seconds > 0:
+            await self.play_planned_work()
+            checks.check_lost(self)
+        if self.seconds > 0:
+            await self.play_faults()
+        checks.check_runs(self)
+        if self.checks_wishes:
+            checks.check_wishes(self)
+
+    def end_processes(self):
         for process in self.processes:
-            if process.handle and process.handle.poll() is None:
+            if process.handle and process.is_running():
                 process.end()
                 process.handle.wait()
         for server in self.platform.servers:
             server.close()
+
+    def clean_up(self):
+        """Keeps the logs of a failing run, with all that was found beside them."""
         if not self.violations.found:
             shutil.rmtree(self.directory)
+            return
+        found = [f"{kind}: {text}" for kind, texts in self.violations.found.items() for text in texts]
+        (self.directory / "violations.txt").write_text("\n".join(found) + "\n")
 
 
 def play(seed, run, arguments):
@@ -414,11 +222,17 @@
         try:
             await soak.play()
         finally:
-            soak.clean_up()
+            soak.end_processes()
+        checks.check_logs(soak)
+        soak.clean_up()
         return soak
 
     soak = asyncio.run(whole())
     print(f"seed {seed}: {dict(soak.outcomes)}, {len(soak.runs.counts)} run, {soak.version} configurations")
+    if arguments.planned_seconds > 0:
+        tally = soak.tally
+        print(f"seed {seed}: beside planned work {tally.total()} requests, {len(tally.lost)} lost, {len(tally.crossed)} "
+              f"crossed, {len(tally.excused)} excused: {dict(tally.outcomes)}")
     for kind, texts in soak.violations.found.items():
         print(f"seed {seed}: BROKEN {kind}, {len(texts)} times: {'; '.join(texts[:3])} (logs in {soak.directory})")
     return not soak.violations.found
@@ -427,7 +241,10 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__.split("\n", maxsplit=1)[0])
     parser.add_argument("--seeds", default="1", help="comma-separated, or FIRST-LAST")
-    parser.add_argument("--seconds", type=float, default=20, help="time in which faults begin")
+    parser.add_argument("--seconds", type=float, default=20, help="time in which faults begin; 0 for none")
+    parser.add_argument("--planned-seconds", type=float, default=20, help="time in which planned work begins; 0 for none")
+    parser.add_argument("--processes", type=int, default=7)
+    parser.add_argument("--wishes", action="store_true", help="check what endpoints say in answers")
     parser.add_argument("--build", default="build")
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
