--- a/Libraries/base/include/siskinwharf/base/event.h
+++ b/Libraries/base/include/siskinwharf/base/event.h
@@ -76,6 +76,16 @@
 inline constexpr event_kind caller_left{224, event_level::info, "caller_left",
                                         "A caller closed the connection before its answer."};
 
+inline constexpr event_kind request_abandoned{
+    225, event_level::warning, "request_abandoned",
+    "The process ended while a forwarded request had no whole answer yet."};
+inline constexpr event_kind connection_closed{
+    230, event_level::info, "connection_closed",
+    "The process closed a connection on which it was waiting for a request or reading one."};
+inline constexpr event_kind connection_failed{
+    231, event_level::warning, "connection_failed",
+    "The handling of a request ended with an exception, and its connection was closed."};
+
 inline constexpr event_kind sheet_in_force{300, event_level::info, "sheet_in_force",
                                            "A newer sheet is in force at this process."};
 inline constexpr event_kind sheet_rejected{301, event_level::warning, "sheet_rejected",
@@ -112,6 +122,13 @@
 inline constexpr event_kind endpoint_limited{
     412, event_level::info, "endpoint_limited",
     "An endpoint names the requests a second that it takes, or names none any more."};
+inline constexpr event_kind endpoint_leaving_stated{413, event_level::info, "endpoint_leaving_stated",
+                                                    "An endpoint said in a response that it is leaving."};
+inline constexpr event_kind endpoint_paused{414, event_level::info, "endpoint_paused",
+                                            "An endpoint takes no requests of this process for some time."};
+inline constexpr event_kind endpoint_constraint_ended{
+    415, event_level::info, "endpoint_constraint_ended",
+    "What an endpoint said of leaving or of a pause holds no more."};
 
 inline constexpr event_kind platform_unavailable{500, event_level::warning, "platform_unavailable",
                                                  "A platform service does not answer."};
@@ -158,6 +175,9 @@
     attempt_broken,
     stream_cut,
     caller_left,
+    request_abandoned,
+    connection_closed,
+    connection_failed,
     sheet_in_force,
     sheet_rejected,
     sheet_conflict,
@@ -175,6 +195,9 @@
     endpoint_gone,
     endpoint_entry_ignored,
     endpoint_limited,
+    endpoint_leaving_stated,
+    endpoint_paused,
+    endpoint_constraint_ended,
     platform_unavailable,
     platform_available,
     lease_acquired,
--- a/Libraries/dispatch/include/siskinwharf/dispatch/load_balancer.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/load_balancer.h
@@ -9,7 +9,8 @@
 #include <vector>
 
 #include "siskinwharf/deployment/snapshot.h"
-#include "siskinwharf/dispatch/endpoint_limits.h"
+#include "siskinwharf/dispatch/endpoint_activity.h"
+#include "siskinwharf/dispatch/endpoint_constraints.h"
 #include "siskinwharf/dispatch/endpoint_state.h"
 
 namespace siskinwharf::dispatch {
@@ -33,7 +34,7 @@
 enum class refusal_reason {
     no_endpoint, ///< The service has no available endpoint.
     overloaded,  ///< The expected latency exceeds the latency target.
-    limited,     ///< All available endpoints get as many requests as they take.
+    limited,     ///< No available endpoint takes more requests now: all named a limit or a pause.
 };
 
 [[nodiscard]] std::string_view to_string(refusal_reason reason);
@@ -44,6 +45,8 @@
     /// Expected time to the first event, or to the response at a service without engines.
     milliseconds expected{0};
     std::size_t candidates = 0; ///< Number of endpoints that were compared.
+    /// Tokens of the shared prefix of which only an assumed share is expected to be cached; 0 if it is known.
+    std::uint64_t uncertain_tokens = 0;
 };
 
 /// The request must not be sent.
@@ -64,7 +67,8 @@
     std::uint64_t prefill_tokens = 0; ///< Prompt tokens expected to be computed before the first event.
     std::uint64_t tokens_ahead = 0;   ///< Tokens that were waiting at the endpoint when the request was sent.
     std::uint32_t running_before = 0; ///< Requests at the endpoint when this one was sent.
-    std::uint64_t reserved_tokens = 0; ///< Prompt tokens and maximum answer tokens of the request.
+    std::uint64_t reserved_tokens = 0;  ///< Prompt tokens and maximum answer tokens of the request.
+    std::uint64_t uncertain_tokens = 0; ///< From the placement.
     monotonic_time started{};
     std::optional<monotonic_time> first_event_at;
 };
@@ -74,7 +78,7 @@
 class load_balancer {
 public:
     explicit load_balancer(load_balancer_settings settings)
-        : m_settings(std::move(settings)), m_limits({m_settings.process, m_settings.domain})
+        : m_settings(std::move(settings)), m_constraints({m_settings.process, m_settings.domain})
     {
     }
 
@@ -104,9 +108,10 @@
     /// Removes the request from the load of the endpoint and updates the failure rate and the backoff.
     void finish(attempt_ticket& ticket, attempt_result result, monotonic_time now);
 
-    [[nodiscard]] endpoint_limits& limits() { return m_limits; }
-    [[nodiscard]] const endpoint_limits& limits() const { return m_limits; }
-    /// Merges what a peer said of limits. Returns what is news.
+    [[nodiscard]] endpoint_activity& activity() { return m_activity; }
+    [[nodiscard]] endpoint_constraints& constraints() { return m_constraints; }
+    [[nodiscard]] const endpoint_constraints& constraints() const { return m_constraints; }
+    /// Merges what a peer said of limits and of leaving endpoints. Returns what is news.
     std::vector<endpoint_limit> merge_limits(const std::vector<endpoint_limit>& limits, monotonic_time now);
     /// Prompt tokens per millisecond that an engine of this service computes when there is little contention.
     [[nodiscard]] double prefill_speed(const service_id& service) const
@@ -130,6 +135,9 @@
         double tokens_per_ms = 50; ///< Prompt tokens that an engine computes, including all delays.
         double uncontended_tokens_per_ms = 50; ///< Average that follows the faster attempts.
         double answer_ms = 40;                 ///< From the request to the end of the response.
+        /// Share of the shared prompt prefix that was cached at the preferred endpoint if this process had
+        /// sent nothing of it there. This process has no index of the prompts that its peers have sent there.
+        double cached_share = 0.8;
     };
 
     /// Endpoints that can serve a request.
@@ -138,8 +146,9 @@
         double lowest_failure_rate = 1; ///< Lowest failure rate among `endpoints`.
         /// Endpoint of this failure domain selected by a hash of the shared prompt prefix, or null.
         const endpoint_state* preferred = nullptr;
-        /// Shortest wait for an endpoint that gets as many requests as it takes; 0: there is none.
-        milliseconds limit_wait{0};
+        /// Shortest wait for an endpoint that takes no request now; `never`: there is none.
+        milliseconds constraint_wait = endpoint_constraints::never;
+        bool has_tried = false; ///< An endpoint that takes requests was left out because it was tried.
     };
     /// Collects the endpoints of a service except those in `tried`. An endpoint in backoff is used only if
     /// there is no other.
@@ -152,6 +161,8 @@
                                      std::uint64_t prefill_tokens) const;
     /// Penalty for an endpoint of another region or failure domain.
     [[nodiscard]] double locality_penalty_ms(const endpoint_state& state) const;
+    /// Updates the share of an uncertain prefix that was cached, from the time in which it was computed.
+    static void learn_cached_share(latency_averages& times, const attempt_ticket& ticket, double waited_ms);
     /// Prompt tokens that are probably not in the engine's cache.
     [[nodiscard]] std::uint64_t prefill_tokens(const endpoint_state& state, const workload& work) const;
     [[nodiscard]] const latency_averages& averages_of(const service_id& service) const;
@@ -166,7 +177,8 @@
     /// Waiting tokens that were last published to peers; 0 if absent.
     std::map<endpoint_id, std::uint64_t> m_published_tokens;
     std::function<void()> m_on_changed_load;
-    endpoint_limits m_limits;
+    endpoint_constraints m_constraints;
+    endpoint_activity m_activity;
 };
 
 } // namespace siskinwharf::dispatch
--- a/Libraries/dispatch/src/load_balancer.cpp
+++ b/Libraries/dispatch/src/load_balancer.cpp
@@ -33,9 +33,6 @@
 constexpr milliseconds maximum_retry_after{2'000};
 /// Retry delay when there is no endpoint: about the time that an endpoint takes to join or restart.
 constexpr milliseconds retry_after_without_endpoint{700};
-/// Fraction of the shared prompt prefix that is assumed to be cached at the preferred endpoint. This process
-/// has no index of the prompts that its peers have sent there.
-constexpr double assumed_cached_share = 0.8;
 /// Weight of the prefill time in the cost of an endpoint. Computing a prompt again also delays the requests
 /// behind it and is billed, so it counts more than the request's own waiting time.
 constexpr double prefill_weight = 2;
@@ -88,7 +85,7 @@
         state.id_hash = hash64(record.id.value());
     }
     m_endpoints = std::move(next);
-    m_limits.retain(endpoints);
+    m_constraints.retain(endpoints);
     for (const auto& record : endpoints)
         m_by_service[record.service].push_back(&m_endpoints.at(record.id));
 }
@@ -99,7 +96,10 @@
     std::vector<endpoint_limit> news;
     for (const auto& limit : limits) {
         const auto* state = find(limit.endpoint);
-        if (state != nullptr && m_limits.merge(state->record, limit, now))
+        if (state == nullptr)
+            continue;
+        if (limit.is_leaving ? m_constraints.merge_leaving(state->record, limit, now)
+                             : m_constraints.merge(state->record, limit, now))
             news.push_back(limit);
     }
     return news;
@@ -219,10 +219,14 @@
     const auto key = last_shared_part_id(work);
     result.endpoints.reserve(listed->second.size());
     for (const auto* state : listed->second) {
-        if (state->record.is_leaving || std::ranges::find(tried, state->record.id) != tried.end())
+        if (state->record.is_leaving)
+            continue;
+        if (const auto wait = m_constraints.wait(state->record, now); wait.count() > 0) {
+            result.constraint_wait = std::min(result.constraint_wait, wait);
             continue;
-        if (const auto wait = m_limits.wait(state->record, now); wait.count() > 0) {
-            result.limit_wait = result.limit_wait.count() == 0 ? wait : std::min(result.limit_wait, wait);
+        }
+        if (std::ranges::find(tried, state->record.id) != tried.end()) {
+            result.has_tried = true;
             continue;
         }
         if (state->backoff_until > now) {
@@ -250,10 +254,13 @@
                                         monotonic_time now) const
 {
     const auto candidates = find_candidates(wanted.id, work, tried, now);
-    if (candidates.endpoints.empty() && candidates.limit_wait.count() > 0)
-        return placement_refusal{refusal_reason::limited,
-                                 std::clamp(candidates.limit_wait, minimum_retry_after, maximum_retry_after),
+    if (candidates.endpoints.empty() && candidates.constraint_wait != endpoint_constraints::never) {
+        const auto wait = candidates.has_tried
+                              ? std::min(candidates.constraint_wait, retry_after_without_endpoint)
+                              : candidates.constraint_wait;
+        return placement_refusal{refusal_reason::limited, std::max(wait, minimum_retry_after),
                                  milliseconds(0)};
+    }
     if (candidates.endpoints.empty())
         return placement_refusal{refusal_reason::no_endpoint, retry_after_without_endpoint, milliseconds(0)};
 
@@ -261,24 +268,27 @@
     const endpoint_state* best = nullptr;
     double best_cost = std::numeric_limits<double>::max();
     double best_expected = 0;
+    std::uint64_t best_uncertain = 0;
     for (const auto* state : candidates.endpoints) {
         auto prefill = prefill_tokens(*state, work);
-        if (state == candidates.preferred && prefill == work.prompt_tokens)
-            prefill -=
-                std::min(prefill, static_cast<std::uint64_t>(static_cast<double>(shared_prefix_tokens(work)) *
-                                                             assumed_cached_share));
+        const auto uncertain = state == candidates.preferred && prefill == work.prompt_tokens
+                                   ? std::min(prefill, shared_prefix_tokens(work))
+                                   : 0;
+        prefill -= static_cast<std::uint64_t>(static_cast<double>(uncertain) * times.cached_share);
         const auto expected = expected_ms(*state, wanted, times, work, prefill);
         const auto penalty = (state->failure_rate - candidates.lowest_failure_rate) *
                              static_cast<double>(m_settings.failure_penalty.count());
         // Half a millisecond per running request spreads requests over endpoints of equal cost.
         const auto spread = static_cast<double>(state->running + state->peers_running) * 0.5;
         const auto prefill_ms = static_cast<double>(prefill) / times.tokens_per_ms;
+        const auto silence = static_cast<double>(m_activity.overdue_silence(state->record.id, now).count());
         const auto cost =
-            expected + penalty + locality_penalty_ms(*state) + spread + prefill_ms * prefill_weight;
+            silence + expected + penalty + locality_penalty_ms(*state) + spread + prefill_ms * prefill_weight;
         if (cost < best_cost) {
             best = state;
             best_cost = cost;
             best_expected = expected;
+            best_uncertain = uncertain;
         }
     }
     const auto share =
@@ -292,7 +302,7 @@
         return placement_refusal{refusal_reason::overloaded,
                                  std::clamp(excess, minimum_retry_after, maximum_retry_after), expected};
     }
-    return placement{best->record, expected, candidates.endpoints.size()};
+    return placement{best->record, expected, candidates.endpoints.size(), best_uncertain};
 }
 
 attempt_ticket load_balancer::start(const deployment::service& wanted, const endpoint_id& endpoint,
@@ -311,7 +321,7 @@
     ticket.tokens_ahead = state.waiting_tokens + state.peers_waiting_tokens;
     ticket.running_before = state.running + state.peers_running;
     ticket.reserved_tokens = work.prompt_tokens + work.answer_tokens;
-    m_limits.on_sent(state.record, now);
+    m_constraints.on_sent(state.record, now);
     ++state.running;
     state.waiting_tokens += ticket.prefill_tokens;
     state.reserved_tokens += ticket.reserved_tokens;
@@ -323,6 +333,15 @@
     return ticket;
 }
 
+void load_balancer::learn_cached_share(latency_averages& times, const attempt_ticket& ticket,
+                                       double waited_ms)
+{
+    const auto computed = waited_ms * times.uncontended_tokens_per_ms;
+    const auto cached = static_cast<double>(ticket.prefill_tokens + ticket.tokens_ahead) - computed;
+    const auto sample = std::clamp(cached / static_cast<double>(ticket.uncertain_tokens), 0.0, 1.0);
+    times.cached_share += sample_weight * (sample - times.cached_share);
+}
+
 void load_balancer::first_event(attempt_ticket& ticket, monotonic_time now)
 {
     if (ticket.first_event_at)
@@ -341,8 +360,15 @@
     if (tokens < minimum_sample_tokens || waited <= 0)
         return;
     auto& times = m_averages[ticket.service];
+    // How much of an uncertain prefix was computed is not known, so it shows nothing of the speed.
+    if (ticket.uncertain_tokens > 0) {
+        learn_cached_share(times, ticket, waited);
+        return;
+    }
     const auto sample = std::clamp(tokens / waited, minimum_tokens_per_ms, maximum_tokens_per_ms);
-    times.tokens_per_ms += sample_weight * (sample - times.tokens_per_ms);
+    // The mean of times per token: attempts whose prompt peers had put into the cache would dominate a mean
+    // of speeds.
+    times.tokens_per_ms = 1 / ((1 - sample_weight) / times.tokens_per_ms + sample_weight / sample);
     auto& uncontended = times.uncontended_tokens_per_ms;
     uncontended +=
         (sample > uncontended ? faster_sample_weight : slower_sample_weight) * (sample - uncontended);
@@ -367,13 +393,14 @@
         return;
     const bool failed = result != attempt_result::answered;
     state.failure_rate += sample_weight * ((failed ? 1.0 : 0.0) - state.failure_rate);
-    if (result != attempt_result::unreachable && result != attempt_result::broken) {
+    if (result != attempt_result::unreachable && result != attempt_result::broken &&
+        result != attempt_result::silent) {
         state.consecutive_failures = 0;
         return;
     }
     ++state.consecutive_failures;
     // A single broken connection may be coincidence. A refused connection shows that the endpoint is not
-    // running.
+    // running, and silence is the word of all its connections.
     if (result == attempt_result::broken && state.consecutive_failures < 2)
         return;
     const auto doubled = m_settings.initial_backoff * (1 << std::min(state.consecutive_failures - 1, 4U));
--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -7,6 +7,7 @@
 #include "siskinwharf/admission/part_quarantine.h"
 #include "siskinwharf/admission/quarantine.h"
 #include "siskinwharf/deployment/snapshot.h"
+#include "siskinwharf/dispatch/answer_pace.h"
 #include "siskinwharf/dispatch/load_balancer.h"
 #include "siskinwharf/dispatch/retry_limiter.h"
 #include "siskinwharf/exchange/process_state.h"
@@ -19,6 +20,14 @@
 
 namespace siskinwharf::forwarding {
 
+/// Times of a planned stop.
+struct stop_schedule {
+    /// Until then the load balancer may still send new connections here.
+    monotonic_time drained{};
+    /// Requests that are still running then are ended.
+    monotonic_time end{};
+};
+
 /// State of a forwarding process: configuration, endpoints, quotas, retry budgets and usage counts. Performs
 /// no I/O. Not thread-safe; used from one thread.
 class traffic_state {
@@ -49,6 +58,12 @@
     [[nodiscard]] const usage::synchronized_clock& clock() const { return m_clock; }
     [[nodiscard]] std::size_t processes() const { return m_processes; }
 
+    /// Tells the state that this process has been told to stop.
+    void begin_stop(const stop_schedule& stop) { m_stop = stop; }
+    [[nodiscard]] const std::optional<stop_schedule>& stop() const { return m_stop; }
+    /// How long the streams of a service take.
+    [[nodiscard]] dispatch::answer_pace& pace(const service_id& service);
+
     /// Returns the quota cost of a request: 1, or its tokens if the client account is limited by tokens.
     [[nodiscard]] static double quota_amount(const deployment::account& account, const call& request);
     /// `draw` is a number from 0 up to 1 that differs between requests.
@@ -77,9 +92,9 @@
     void count_part_answer(const std::vector<admission::prompt_part_id>& shared, monotonic_time now);
     void merge_part_crashes(const std::vector<admission::part_crash_record>& records, monotonic_time now);
 
-    /// Records the limit that a response of the endpoint names, or that it names none.
-    void observe_limit(const dispatch::endpoint_record& endpoint, std::optional<double> per_second,
-                       monotonic_time now);
+    /// Records what a response of the endpoint says of the requests that it takes.
+    void observe_statement(const dispatch::endpoint_record& endpoint,
+                           const dispatch::endpoint_statement& stated, monotonic_time now);
     void merge_endpoint_limits(const std::vector<dispatch::endpoint_limit>& limits, monotonic_time now);
 
     /// Fills in the fields of this process's state message that come from this object.
@@ -100,8 +115,10 @@
     struct service_traffic {
         dispatch::retry_limiter allowance;
         dispatch::sliding_sum tokens; ///< Prompt tokens requested by callers.
+        dispatch::answer_pace pace;
     };
     service_traffic& traffic_of(const service_id& service);
+    void log_ended_constraints(monotonic_time now);
 
     process_settings m_settings;
     monotonic_time m_started;
@@ -116,6 +133,7 @@
     admission::part_quarantine m_parts{admission::part_quarantine_limits{}};
     std::optional<monotonic_time> m_crash_news; ///< When this process last learned something of crashes.
     std::size_t m_processes = 1;
+    std::optional<stop_schedule> m_stop;
 };
 
 } // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -8,6 +8,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include "attempt_end.h"
 #include "event_splitter.h"
 #include "siskinwharf/forwarding/call.h"
 #include "siskinwharf/forwarding/traffic_state.h"
@@ -18,18 +19,14 @@
 
 namespace siskinwharf::forwarding {
 
-/// Result of one attempt to forward a request to an endpoint.
-enum class attempt_end {
-    delivered,   ///< The caller received the whole response.
-    aborted,     ///< The caller received part of a response that will not be completed.
-    not_run,     ///< The endpoint reported that it did not run the request.
-    not_sent,    ///< No connection could be opened.
-    failed,      ///< The endpoint may have run the request.
-    timed_out,   ///< The request timed out; the endpoint may have run it.
-    caller_gone, ///< The caller disconnected.
-};
+/// What the responses of all endpoints that contribute to one stream have in common.
+struct stream_format {
+    int status = 0;
+    std::string media_type; ///< In lower case, without parameters. Empty if the response does not say it.
+    std::string encoding;
 
-[[nodiscard]] std::string_view to_string(attempt_end end);
+    bool operator==(const stream_format&) const = default;
+};
 
 /// Handles one caller's request from its arrival to the end of the response.
 class forwarded_request {
@@ -37,6 +34,12 @@
     forwarded_request(boost::asio::any_io_executor executor, traffic_state& state, const call_codec& codec,
                       http::client& client, telemetry::metrics_registry& metrics, call request,
                       http::response_writer& writer);
+    forwarded_request(const forwarded_request&) = delete;
+    forwarded_request& operator=(const forwarded_request&) = delete;
+    forwarded_request(forwarded_request&&) = delete;
+    forwarded_request& operator=(forwarded_request&&) = delete;
+    /// Says so if the process ends before the request has its answer.
+    ~forwarded_request();
 
     boost::asio::awaitable<void> run();
 
@@ -54,6 +57,10 @@
     [[nodiscard]] std::optional<http::refusal> authorize();
     /// Returns the reason if the request must not run because it, or others like it, crashed endpoints.
     [[nodiscard]] std::optional<http::refusal> check_quarantine(monotonic_time now) const;
+    /// Returns the reason if this process stops before the answer would be whole.
+    [[nodiscard]] std::optional<http::refusal> check_stop(monotonic_time now) const;
+    /// Time to the end of the answer: expected while a process has just begun to stop, otherwise at most.
+    [[nodiscard]] milliseconds expected_answer_time(monotonic_time now) const;
     void log_quota_exceeded(double amount, monotonic_time now) const;
     boost::asio::awaitable<void> serve();
     /// Selects an endpoint and forwards the request once. Returns nothing if the caller has been answered
@@ -63,6 +70,7 @@
                                              dispatch::attempt_ticket& ticket, milliseconds expected);
     boost::asio::awaitable<attempt_end> receive(const dispatch::endpoint_record& endpoint,
                                                 http::part_stream& answer, dispatch::attempt_ticket& ticket);
+    void observe_statement(const dispatch::endpoint_record& endpoint, const response_metadata& facts);
     boost::asio::awaitable<attempt_end> relay_response(http::part_stream& answer,
                                                        dispatch::attempt_ticket& ticket);
     /// How the body of a response was read.
@@ -76,6 +84,10 @@
     boost::asio::awaitable<body_end> read_body(http::part_stream& answer, http::response& whole);
     boost::asio::awaitable<attempt_end> relay_event_stream(http::part_stream& answer,
                                                            dispatch::attempt_ticket& ticket);
+    /// Throws `http::call_error` if the caller has part of a stream and the response does not continue it.
+    void check_continuation(const http::part_stream& answer) const;
+    /// Throws `http::call_error` if the response has ended and the stream has not.
+    void check_stream_end(const http::part_stream& answer, bool has_event) const;
     boost::asio::awaitable<void> forward_events(http::part_stream& answer, std::string events);
     /// Whether another attempt may follow a failed one. Takes a retry from the budget where one is needed.
     [[nodiscard]] bool may_retry(attempt_end end);
@@ -92,10 +104,23 @@
     /// Whether another attempt may follow the present one.
     [[nodiscard]] bool may_try_elsewhere() const;
     [[nodiscard]] std::optional<milliseconds> time_left() const;
+    /// Retry delay after all attempts were refused by endpoints.
+    [[nodiscard]] milliseconds not_run_retry_after() const;
+    /// Retry delay for a caller that waits for endpoints to take requests again in `wait`: within the time
+    /// that callers wait at all, and spread so that not all come at once.
+    [[nodiscard]] milliseconds usable_retry_after(milliseconds wait) const;
     /// Time left for the response to start, from the latency target of the route and the time left.
     [[nodiscard]] milliseconds response_start_budget() const;
-    /// Maximum wait for the next bytes: the time left, or `usual` if another endpoint could take over.
-    [[nodiscard]] milliseconds read_timeout(milliseconds usual) const;
+    /// Reads what arrives next, up to the deadline.
+    boost::asio::awaitable<std::string> read_part(http::part_stream& answer);
+    /// Maximum wait for the next bytes.
+    [[nodiscard]] milliseconds read_timeout() const { return time_left().value_or(default_request_timeout); }
+    /// Ends the present attempt if its endpoint is silent for too long and another can serve the request.
+    /// Returns whether it was ended.
+    bool give_up_if_silent();
+    /// Whether another endpoint is expected to serve the request before its deadline.
+    [[nodiscard]] bool is_served_elsewhere(monotonic_time now) const;
+    void on_progress();
     [[nodiscard]] admission::content_key content() const;
 
     boost::asio::any_io_executor m_executor;
@@ -113,17 +138,25 @@
     const deployment::service* m_service = nullptr;
     double m_quota_taken = 0;
     std::vector<endpoint_id> m_tried_endpoints;
-    std::size_t m_sent_attempts = 0;        ///< Attempts that reached an endpoint.
+    std::size_t m_sent_attempts = 0; ///< Attempts that may have reached an endpoint, with the present one.
     std::size_t m_unreachable_attempts = 0; ///< Attempts without a connection.
     bool m_may_have_run = false;
     bool m_has_reserved_retry = false; ///< A retry has already been taken from the budget.
     bool m_is_run_counted = false;
     bool m_has_crash_check = false; ///< An endpoint that ran the request has been checked for a crash.
     bool m_is_caller_gone = false;
+    std::optional<dispatch::answer_pace::answer_number>
+        m_running_answer;     ///< Stream that has its first event.
+    bool m_has_ended = false; ///< `run` has returned.
     /// Error response of an endpoint, which is sent if no retry succeeds.
     std::optional<http::response> m_failure_answer;
-    std::shared_ptr<http::call_control> m_control;
+    std::shared_ptr<http::call_control> m_control; ///< Of the present attempt.
+    dispatch::endpoint_activity::attempt_number m_attempt_number = 0;
+    bool m_is_reading = false; ///< Bytes of the endpoint are waited for.
+    dispatch::silence_verdict m_verdict = dispatch::silence_verdict::none; ///< On the present attempt.
     event_splitter m_events;
+    /// Format of the stream of which the caller has received the beginning.
+    std::optional<stream_format> m_stream_format;
 };
 
 } // namespace siskinwharf::forwarding
--- /dev/null
+++ b/Libraries/forwarding/src/forwarded_request_admission.cpp
@@ -0,0 +1,115 @@
+// The part of forwarded_request that decides whether a request is taken.
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "forwarded_request.h"
+#include "siskinwharf/base/event_log.h"
+#include "siskinwharf/base/hash.h"
+
+namespace siskinwharf::forwarding {
+
+namespace {
+
+constexpr milliseconds retry_after_not_ready{700};
+
+} // namespace
+
+std::optional<http::refusal> forwarded_request::admit()
+{
+    using http::refusal_type;
+    if (!m_state.is_ready())
+        return http::refusal{refusal_type::not_ready, "no configuration yet", outcome::not_run,
+                             retry_after_not_ready};
+    m_route = m_snapshot->find_route(m_call.host, m_call.message.path);
+    if (m_route == nullptr)
+        return http::refusal{refusal_type::not_found, "no route for this host and path"};
+    if (m_call.id.empty())
+        return http::refusal{refusal_type::malformed, "the request has no id"};
+    if (auto reason = authorize())
+        return reason;
+    const auto choice = hash64(m_call.id.value());
+    m_service = m_snapshot->find_service(deployment::choose_service(*m_route, choice));
+    if (m_service == nullptr)
+        return http::refusal{refusal_type::no_endpoint, "the service is not known", outcome::not_run,
+                             retry_after_not_ready};
+    const auto now = std::chrono::steady_clock::now();
+    if (auto reason = check_quarantine(now))
+        return reason;
+    if (auto reason = check_stop(now))
+        return reason;
+    const auto rank = m_account != nullptr && m_account->rank ? *m_account->rank : m_route->rank;
+    m_call.work.urgency = m_snapshot->urgency(rank);
+    m_state.count_request(m_service->id, now);
+    if (m_account == nullptr)
+        return std::nullopt;
+    const auto amount = traffic_state::quota_amount(*m_account, m_call);
+    const auto draw = unit_interval(mix64(choice));
+    if (!m_state.take_quota(*m_account, amount, draw, now)) {
+        log_quota_exceeded(amount, now);
+        return http::refusal{refusal_type::overloaded, "the account's quota is used up", outcome::not_run,
+                             m_state.quotas().retry_after(m_account->id, amount, draw, now)};
+    }
+    m_quota_taken = amount;
+    return std::nullopt;
+}
+
+std::optional<http::refusal> forwarded_request::check_quarantine(monotonic_time now) const
+{
+    if (!m_state.quarantine().is_empty() &&
+        m_state.quarantine().status(content(), now) == admission::content_status::quarantined)
+        return http::refusal{http::refusal_type::no_endpoint, "the request crashed endpoints",
+                             outcome::not_run};
+    if (const auto part = m_state.parts().find(dispatch::shared_part_ids(m_call.work.parts)))
+        return http::refusal{http::refusal_type::no_endpoint,
+                             "part " + dispatch::to_string({{*part, 0}}) + " of the prompt crashed endpoints",
+                             outcome::not_run};
+    return std::nullopt;
+}
+
+std::optional<http::refusal> forwarded_request::check_stop(monotonic_time now) const
+{
+    const auto& stop = m_state.stop();
+    if (!stop || now + expected_answer_time(now) <= stop->end)
+        return std::nullopt;
+    // Another process can take it at once.
+    return http::refusal{http::refusal_type::stopping, "this process stops before the answer would be whole",
+                         outcome::not_run, milliseconds(0)};
+}
+
+milliseconds forwarded_request::expected_answer_time(monotonic_time now) const
+{
+    const auto left = time_left().value_or(default_request_timeout);
+    // An estimate will do while callers cannot know that the process stops: they have few retries.
+    const bool may_estimate =
+        m_route->kind == deployment::request_kind::stream && m_state.stop() && now < m_state.stop()->drained;
+    if (!may_estimate)
+        return left;
+    const auto stream = m_state.pace(m_service->id).expected(m_call.work.answer_tokens, now);
+    return stream ? std::min(left, *stream) : left;
+}
+
+void forwarded_request::log_quota_exceeded(double amount, monotonic_time now) const
+{
+    const auto balance = m_state.quotas().balance(m_account->id, now);
+    log_event(event::quota_exceeded, {{"request", m_call.id.value()},
+                                      {"account", m_account->id.value()},
+                                      {"amount", fmt::format("{:.0f}", amount)},
+                                      {"allowed", fmt::format("{:.0f}", balance.allowed)},
+                                      {"remaining", fmt::format("{:.0f}", balance.remaining)},
+                                      {"asked_per_second", fmt::format("{:.0f}", balance.expected)},
+                                      {"age_ms", std::to_string(balance.age.count())}});
+}
+
+std::optional<http::refusal> forwarded_request::authorize()
+{
+    if (m_route->is_public || m_snapshot->content().accounts.empty())
+        return std::nullopt;
+    m_account = m_call.key ? m_snapshot->find_account(*m_call.key) : nullptr;
+    if (m_account == nullptr)
+        return http::refusal{http::refusal_type::unauthorized, "unknown API key"};
+    return std::nullopt;
+}
+
+} // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/src/forwarded_request_relay.cpp
+++ b/Libraries/forwarding/src/forwarded_request_relay.cpp
@@ -1,5 +1,7 @@
 // The part of forwarded_request that passes the response of an endpoint on to the caller.
 
+#include <cctype>
+
 #include <fmt/format.h>
 
 #include "forwarded_request.h"
@@ -11,10 +13,6 @@
 
 namespace {
 
-using std::chrono::duration_cast;
-
-/// Time without an event in a resumable stream after which another endpoint takes over.
-constexpr milliseconds event_timeout{1'300};
 constexpr std::size_t maximum_response_size = 16U << 20U;
 /// A response up to this size is held until it is whole, so that another endpoint can take over before. A
 /// larger one is passed on as it arrives, so that many at once fit into memory.
@@ -28,6 +26,22 @@
     return status >= first_success && status < first_redirect;
 }
 
+stream_format format_of(const http::part_stream& answer)
+{
+    stream_format format;
+    format.status = answer.status();
+    for (const auto& [name, value] : answer.headers()) {
+        if (http::equal_ignoring_case(name, "Content-Encoding"))
+            format.encoding = value;
+        if (!http::equal_ignoring_case(name, "Content-Type"))
+            continue;
+        format.media_type = value.substr(0, value.find_first_of("; \t"));
+        for (auto& letter : format.media_type)
+            letter = static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+    }
+    return format;
+}
+
 } // namespace
 
 asio::awaitable<attempt_end> forwarded_request::receive(const dispatch::endpoint_record& endpoint,
@@ -38,8 +52,11 @@
     const auto facts = m_codec.inspect(status, answer.headers());
     if (facts.id && *facts.id != m_call.id)
         throw http::call_error(http::call_stage::after_header, "the response belongs to another request");
-    if (facts.is_signed || facts.is_not_run)
-        m_state.observe_limit(endpoint, facts.requests_per_second, std::chrono::steady_clock::now());
+    // The response to an earlier request, sent again, may lack the id too.
+    if (!facts.id && answer.may_answer_earlier_request())
+        throw http::call_error(http::call_stage::after_header,
+                               "the response names no request and its connection was used before");
+    observe_statement(endpoint, facts);
     if (facts.is_not_run)
         co_return attempt_end::not_run;
     if (!facts.is_signed)
@@ -50,6 +67,19 @@
     co_return co_await relay_response(answer, ticket);
 }
 
+void forwarded_request::observe_statement(const dispatch::endpoint_record& endpoint,
+                                          const response_metadata& facts)
+{
+    if (facts.malformed_statements > 0)
+        m_metrics
+            .find_counter("siskinwharf_malformed_endpoint_statements_total",
+                          "Headers of endpoints about the requests they take that were ignored.", {})
+            ->add(facts.malformed_statements);
+    // That an unsigned response names no limit does not mean that the endpoint has none.
+    if (facts.is_signed || facts.is_not_run || facts.stated.is_leaving || facts.stated.pause)
+        m_state.observe_statement(endpoint, facts.stated, std::chrono::steady_clock::now());
+}
+
 asio::awaitable<attempt_end> forwarded_request::relay_response(http::part_stream& answer,
                                                                dispatch::attempt_ticket& ticket)
 {
@@ -85,13 +115,22 @@
         throw http::call_error(http::call_stage::after_header, "the response did not end in time", true);
 }
 
+asio::awaitable<std::string> forwarded_request::read_part(http::part_stream& answer)
+{
+    m_is_reading = true;
+    auto part = co_await answer.next_part(read_timeout());
+    m_is_reading = false;
+    co_return part;
+}
+
 asio::awaitable<forwarded_request::body_end> forwarded_request::read_body(http::part_stream& answer,
                                                                           http::response& whole)
 {
     std::size_t size = 0;
     while (true) {
         check_time_left();
-        auto part = co_await answer.next_part(read_timeout(default_request_timeout));
+        auto part = co_await read_part(answer);
+        on_progress();
         if (part.empty())
             break;
         size += part.size();
@@ -103,6 +142,7 @@
         if (!m_writer.started())
             co_await m_writer.begin(whole.status, whole.headers);
         co_await m_writer.write(std::exchange(whole.body, {}));
+        on_progress();
     }
     if (!m_writer.started())
         co_return body_end::held;
@@ -112,43 +152,65 @@
 
 asio::awaitable<void> forwarded_request::forward_events(http::part_stream& answer, std::string events)
 {
-    if (!m_writer.started())
+    if (!m_writer.started()) {
+        m_stream_format = format_of(answer);
         co_await m_writer.begin(answer.status(), m_codec.forwarded(answer.headers()));
+    }
     co_await m_writer.write(std::move(events));
 }
 
+void forwarded_request::check_continuation(const http::part_stream& answer) const
+{
+    if (m_writer.started() && m_stream_format != format_of(answer))
+        throw http::call_error(http::call_stage::after_header,
+                               "the endpoint sent another kind of response instead of resuming the stream");
+}
+
+void forwarded_request::check_stream_end(const http::part_stream& answer, bool has_event) const
+{
+    if (m_events.has_partial_event())
+        throw http::call_error(http::call_stage::after_header, "the stream ended within an event");
+    if (m_events.is_behind())
+        throw http::call_error(http::call_stage::after_header,
+                               "the stream started again and ended before its last event");
+    if (m_writer.started() && !has_event && answer.ends_with_connection())
+        throw http::call_error(http::call_stage::after_header,
+                               "the connection ended without an event of the resumed stream");
+}
+
 asio::awaitable<attempt_end> forwarded_request::relay_event_stream(http::part_stream& answer,
                                                                    dispatch::attempt_ticket& ticket)
 {
+    check_continuation(answer);
+    const auto events_at_start = m_events.events();
     bool has_event = false;
-    auto last_event = std::chrono::steady_clock::now();
     while (true) {
         check_time_left();
-        // Progress is counted in events: bytes that complete none do not extend the wait.
-        const auto waited = duration_cast<milliseconds>(std::chrono::steady_clock::now() - last_event);
-        if (may_try_elsewhere() && waited >= event_timeout)
-            throw http::call_error(http::call_stage::after_header, "no event in time", true);
-        const auto wait = read_timeout(event_timeout - waited);
-        const auto part = co_await answer.next_part(wait);
+        const auto part = co_await read_part(answer);
         if (part.empty())
             break;
         if (!has_event) {
             has_event = true;
-            m_state.balancer().first_event(ticket, std::chrono::steady_clock::now());
+            const auto now = std::chrono::steady_clock::now();
+            m_state.balancer().first_event(ticket, now);
+            m_running_answer = m_state.pace(m_service->id).begin(m_call.work.answer_tokens, now);
             count_run();
         }
         const auto events_before = m_events.events();
         auto events = m_events.add(part);
         if (m_events.is_event_too_large())
             throw http::call_error(http::call_stage::after_header, "an event is too large");
-        if (events.empty())
-            continue;
-        co_await forward_events(answer, std::move(events));
+        if (!events.empty())
+            co_await forward_events(answer, std::move(events));
+        // The events before it are known as delivered and must be so.
+        if (m_events.is_out_of_place())
+            throw http::call_error(http::call_stage::after_header,
+                                   "the resumed stream sent an event without a place");
+        // Progress is counted in events: bytes that complete none do not extend the wait.
         if (m_events.events() > events_before)
-            last_event = std::chrono::steady_clock::now();
+            on_progress();
     }
-    if (m_events.has_partial_event())
-        throw http::call_error(http::call_stage::after_header, "the stream ended within an event");
+    check_stream_end(answer, m_events.events() > events_at_start);
     if (m_events.events() > 0)
         count_answer();
     if (!m_writer.started())
--- a/Services/siskinwharfd/src/forwarding_process.cpp
+++ b/Services/siskinwharfd/src/forwarding_process.cpp
@@ -37,8 +37,13 @@
 /// After a request to stop, connections are accepted until the load balancer has seen the failing readiness
 /// check twice, at one check a second.
 constexpr milliseconds drain_time{3'000};
+/// Callers are told to use a connection again within this time only, so that a stopping process soon has none
+/// that is still in use.
+constexpr milliseconds reuse_time{3'000};
 /// The process ends this long before it would be killed.
 constexpr milliseconds stop_margin{400};
+/// Connections are closed this long before the process ends, for requests that are already under way.
+constexpr milliseconds last_requests_time{500};
 constexpr milliseconds stop_poll{50};
 /// Longest time that a log line waits to be written.
 constexpr milliseconds log_period{500};
@@ -78,6 +83,7 @@
     result.body_bytes = limits.body_bytes;
     result.request_timeout = limits.header_timeout;
     result.idle_timeout = limits.idle_timeout;
+    result.reuse_time = reuse_time;
     result.connections = most_connections;
     return result;
 }
@@ -140,7 +146,7 @@
         asio::co_spawn(m_context, handle_signals(), asio::detached);
         asio::co_spawn(m_context, flush_log(), asio::detached);
         m_context.run();
-        log_event(event::process_stopped);
+        log_event(event::process_stopped, {{"active", std::to_string(m_callers.active_requests())}});
         flush_events();
     }
 
@@ -184,15 +190,22 @@
     asio::awaitable<void> stop()
     {
         const auto started = std::chrono::steady_clock::now();
-        log_event(event::process_stopping, {{"active", std::to_string(m_callers.active_requests())}});
+        const auto end = started + m_settings.bounds.stop_time - stop_margin;
+        log_event(event::process_stopping, {{"active", std::to_string(m_callers.active_requests())},
+                                            {"connections", std::to_string(m_callers.open_connections())}});
         m_peers.set_leaving();
         m_duties.stop();
+        m_state.begin_stop({started + drain_time, end});
         m_callers.begin_drain();
-        asio::steady_timer timer(m_context, drain_time);
+        asio::steady_timer timer(m_context, std::min(drain_time, m_settings.bounds.stop_time - stop_margin));
         co_await timer.async_wait(use_tuple);
         m_callers.stop_accepting();
-        const auto give_up_at = started + m_settings.bounds.stop_time - stop_margin;
-        while (m_callers.active_requests() > 0 && std::chrono::steady_clock::now() < give_up_at) {
+        // Callers go on using the connections that they have: each use ends one of them.
+        while (m_callers.open_connections() > 0 && std::chrono::steady_clock::now() < end) {
+            if (std::chrono::steady_clock::now() < end - last_requests_time)
+                m_callers.close_unused();
+            else
+                m_callers.close_idle();
             timer.expires_after(stop_poll);
             co_await timer.async_wait(use_tuple);
         }
