Soak: Tell streams that outlast a stop from lost requests

A stream that a process takes in the first 3 s of a stop, while the load balancer still sends callers to it, and that runs into the last sixth of the grace was lost by the check. They are counted by themselves and bounded at one in 200 requests; what is sent later must be whole.

--- a/Tests/soak/checks.py
+++ b/Tests/soak/checks.py
@@ -7,6 +7,7 @@
 from process import CONTACT_S, SLACK_S
 
 CROSSED_PER_REQUEST = 1 / 200 # Requests that may cross the end of their connection, as a share of all.
+OUTLASTED_PER_REQUEST = 1 / 200 # Streams that a stopping process may take although they do not end in time.
 LEAST_REQUESTS = 200   # Of the planned work, for its checks to say something.
 WISH_S = 1.0           # From an endpoint's wish until processes that were told keep it; each is told by its own answer.
 LIMIT_WINDOW_S = 5.0
@@ -47,6 +48,9 @@
         soak.violations.add("blamed", text)
     if tally.total() < LEAST_REQUESTS:
         soak.violations.add("few", f"{tally.total()} requests beside planned work")
+    if len(tally.outlasted) > OUTLASTED_PER_REQUEST * tally.total():
+        soak.violations.add("outlasted",
+                            f"{len(tally.outlasted)} of {tally.total()} requests: {'; '.join(tally.outlasted[:3])}")
     if len(tally.crossed) > CROSSED_PER_REQUEST * tally.total():
         soak.violations.add("crossed", f"{len(tally.crossed)} of {tally.total()} requests: {'; '.join(tally.crossed[:3])}")
 
--- a/Tests/soak/pooled_callers.py
+++ b/Tests/soak/pooled_callers.py
@@ -5,6 +5,8 @@
   endpoint ran it: the process has not read it, and the caller may repeat it;
 - excused, if an endpoint broke it off, its time was over, or it is a long stream that was sent before the process was
   told to stop and that ran into the end of the grace;
+- outlasted, if it is a long stream that was sent in the first 3 s of a stop and ran into the end of the grace: the
+  process took it for one that ends in time;
 - lost otherwise."""
 
 import asyncio
@@ -37,7 +39,7 @@
     def __init__(self):
         self.outcomes = collections.Counter()
         self.kinds = collections.Counter()
-        self.lost, self.crossed, self.excused, self.blamed = [], [], [], []
+        self.lost, self.crossed, self.excused, self.outlasted, self.blamed = [], [], [], [], []
 
     def total(self):
         return sum(self.outcomes.values())
@@ -217,13 +219,16 @@
                              f"{'cut within the answer' if has_begun else 'no answer'}, "
                              f"{'reset' if was_reset else 'closed'} {ended - sent:.3f} s after it was sent")
         is_late = ended - began > time_s - END_OF_TIME_S
-        ran_into_end = stop and began < stop and ended > stop + LAST_PART_OF_GRACE * GRACE_S and path.startswith("/long/")
+        ran_into_end = stop and ended > stop + LAST_PART_OF_GRACE * GRACE_S and path.startswith("/long/")
         if was_reset and not has_begun and not in_halves and not runs.count(request_id):
             tally.crossed.append(text)
             return "crossed"
-        if request_id in runs.broken or is_late or ran_into_end:
+        if request_id in runs.broken or is_late or (ran_into_end and began < stop):
             tally.excused.append(text)
             return "excused"
+        if ran_into_end and began <= stop + STOP_ACCEPTING_S:
+            tally.outlasted.append(text)
+            return "outlasted"
         tally.lost.append(text)
         return "lost"
 
--- a/Tests/soak/soak.py
+++ b/Tests/soak/soak.py
@@ -232,7 +232,7 @@
     if arguments.planned_seconds > 0:
         tally = soak.tally
         print(f"seed {seed}: beside planned work {tally.total()} requests, {len(tally.lost)} lost, {len(tally.crossed)} "
-              f"crossed, {len(tally.excused)} excused: {dict(tally.outcomes)}")
+              f"crossed, {len(tally.outlasted)} outlasted, {len(tally.excused)} excused: {dict(tally.outcomes)}")
     for kind, texts in soak.violations.found.items():
         print(f"seed {seed}: BROKEN {kind}, {len(texts)} times: {'; '.join(texts[:3])} (logs in {soak.directory})")
     return not soak.violations.found
