Entry process: Say that connections end once a stop has begun

On the product's own interface, responses during a stop told callers to use their connection again for 60 s, although it ends with the process; nothing called begin_drain there. Now each response after the signal ends its connection. Not shown by a test of its own yet.

--- a/Services/siskinwharfd/src/entry_process.cpp
+++ b/Services/siskinwharfd/src/entry_process.cpp
@@ -276,6 +276,9 @@
         co_return;
     m_claim_service.stop_accepting();
     log_event(event::process_stopping, {{"time_ms", std::to_string(time.count())}});
+    // From now on each response says that its connection ends, because all end with the process.
+    for (std::size_t index = 0; index < m_workers.size(); ++index)
+        asio::post(m_workers[index]->context(), [front = m_servers[index].get()] { front->begin_drain(); });
     co_await drain(now() + time);
     co_await hand_over_requests();
     // Callers whose connection was to end get that end before the process does.
