--- a/Libraries/dispatch/include/siskinwharf/dispatch/answer_pace.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/answer_pace.h
@@ -26,8 +26,8 @@
 
 private:
     struct running_answer {
-        monotonic_time since;
-        std::uint64_t answer_tokens;
+        monotonic_time since{};
+        std::uint64_t answer_tokens = 0;
     };
     struct ended_answer {
         double taken_ms = 0;
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -140,8 +140,9 @@
     const auto& bounds = m_settings.bounds;
     const dispatch::retry_limiter_settings bound{bounds.retry_ratio, bounds.retry_window, bounds.retry_slack};
     return m_services
-        .try_emplace(service,
-                     service_traffic{dispatch::retry_limiter(bound), dispatch::sliding_sum(demand_window)})
+        .try_emplace(
+            service,
+            service_traffic{dispatch::retry_limiter(bound), dispatch::sliding_sum(demand_window), {}})
         .first->second;
 }
 
--- a/Libraries/http/src/server.cpp
+++ b/Libraries/http/src/server.cpp
@@ -255,7 +255,7 @@
                 co_await discard_input(*lowest);
                 co_return;
             }
-            co_await answer(std::move(*received.message), writer);
+            co_await answer(received, writer);
             writer.end_watch();
             told = writer.announced();
             if (!writer.keep_alive()) {
@@ -267,14 +267,14 @@
 
     /// Lets the handler answer a request. A request that was read gets an answer whatever the handler meets.
     template<typename Stream>
-    asio::awaitable<void> answer(request message, connection_writer<Stream>& writer)
+    asio::awaitable<void> answer(read_outcome& received, connection_writer<Stream>& writer)
     {
         ++m_active;
         const active_guard guard{m_active};
-        const auto path = message.path;
+        const auto path = received.message->path;
         std::string failure;
         try {
-            co_await m_handler(std::move(message), writer);
+            co_await m_handler(std::move(*received.message), writer);
         } catch (const caller_disconnected&) {
             throw;
         } catch (const std::exception& error) {
--- a/Services/siskinwharfd/src/forwarding_process.cpp
+++ b/Services/siskinwharfd/src/forwarding_process.cpp
@@ -44,6 +44,8 @@
 constexpr milliseconds stop_margin{400};
 /// Connections are closed this long before the process ends, for requests that are already under way.
 constexpr milliseconds last_requests_time{500};
+/// Time between the signal and its handling, and between a caller's sending and the reading, at most.
+constexpr milliseconds signal_margin{250};
 constexpr milliseconds stop_poll{50};
 /// Longest time that a log line waits to be written.
 constexpr milliseconds log_period{500};
@@ -195,7 +197,7 @@
                                             {"connections", std::to_string(m_callers.open_connections())}});
         m_peers.set_leaving();
         m_duties.stop();
-        m_state.begin_stop({started + drain_time, end});
+        m_state.begin_stop({started + drain_time - signal_margin, end});
         m_callers.begin_drain();
         asio::steady_timer timer(m_context, std::min(drain_time, m_settings.bounds.stop_time - stop_margin));
         co_await timer.async_wait(use_tuple);
