Entry process: Let the tests' engine close its connection instead of throwing

The server answers a request whose handler meets a fault with status 500; it closed the connection before. It aborts the response now; no check was changed.

--- a/Services/siskinwharfd/tests/fake_engine.h
+++ b/Services/siskinwharfd/tests/fake_engine.h
@@ -48,14 +48,17 @@
         http::response reply{404, {}, "{}"};
         if (message.method == "POST" && message.path == "/streams")
             reply = m_script(m_streams++);
-        if (reply.status == no_answer_status)
-            throw std::runtime_error("the engine closes the connection");
+        if (reply.status == no_answer_status) {
+            writer.abort();
+            co_return;
+        }
         if (reply.status == crash_status) {
             // Accepts the stream, sends one token, and loses the connection and its memory.
             std::vector<http::header_field> headers{{"Content-Type", "application/x-ndjson"}};
             co_await writer.begin(200, std::move(headers));
             co_await writer.write("{\"offset\":0,\"token\":\"a\"}\n");
-            throw std::runtime_error("the engine crashes");
+            writer.abort();
+            co_return;
         }
         co_await writer.send(std::move(reply));
     }
