--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -194,6 +194,9 @@
             {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": zone, "version": "v1", "slots": 48,
              "state": "ready", "coldRemainingMs": 0, "sequence": 1, "born": int(time.time() * 1000)}).encode())
 
+    async def work(self):
+        await asyncio.sleep(self.work_s)
+
     async def _serve(self, reader, writer):
         try:
             while True:
@@ -207,7 +210,7 @@
                 self.ran.append((first, headers, body))
                 self.deployment.record(f"{self.id} runs {request}: {first}, tenant "
                                        f"{headers.get('siskinwharf-tenant', 'none')}")
-                await asyncio.sleep(self.work_s)
+                await self.work()
                 writer.write(message("HTTP/1.1 200 OK", {**common, "Siskinwharf-Response-Signature": f"{request}.{self.id}"},
                                      f"{request} by {self.id}".encode()))
                 await writer.drain()
