Review: End a script that cannot run with 2, and its processes with it

Cause: a fault of a script itself would have ended with 1, the code of a broken rule, and SIGTERM would have left the processes that it started.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -373,9 +373,11 @@
 
 def play(case):
     """Runs `case(trouble)`, which returns whether the rule was broken, and exits as the review asks."""
+    # Ends the processes that were started also if the script itself is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(case(os.environ.get("TROUBLE", "1") != "0"), 110))
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # A fault of the script is no fault of the program.
         print(f"could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
     print("BROKEN" if broken else "held")
