--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -336,7 +336,8 @@
             await replica.start()
         configuration = {
             "version": 1, "routeList": routes,
-            "services": [{"name": "desk", "healthPath": "/healthz", "maxConns": 110, "protocol": "h1", "tls": False}],
+            "services": [{"name": name, "healthPath": "/healthz", "maxConns": 310, "protocol": "h1", "tls": False}
+                         for name in sorted({each["service"] for each in routes})],
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
             "tenants": [{"name": "cart", "apiKeys": [KEY], "priority": 1}]}
         self.store.put("op", "config", json.dumps(configuration).encode())
