--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -257,12 +257,11 @@
 class Deployment:
     """Processes in three zones, the platform, and a service with its replicas."""
 
-    def __init__(self, record, nodes):
+    def __init__(self, record, nodes, zones=tuple(ZONES)):
         self.record = record
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="siskinwharf-review-"))
         self.net = (60 + os.getpid() % 150, 1 + os.getpid() // 150 % 250)
         self.store, self.cloud = Store(), Cloud(record)
-        zones = list(ZONES)
         self.nodes = [Node(self, number + 1, zones[number % len(zones)]) for number in range(nodes)]
         self.replicas = []
 
