--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,10 +10,10 @@
 sys.path.insert(0, str(FOLDER.parent / "common-2"))
 from harness import CONTACT_S, CannotRun, Deployment, LEASE_S, route, run_case  # noqa: E402
 
-NODES = 3
+NODES = 2
 ROUNDS = 8
 LAST_ROUND_S = 85.0  # No round begins later than this after the start of the case.
-KILL_AFTER_S = 0.4   # From SIGTERM until the process is killed; the grace is 8 s.
+KILL_AFTER_S = 0.5   # From SIGTERM until the process is killed; the grace is 8 s.
 RESTART_AFTER_S = 0.2
 WAIT_S = 12.0
 
@@ -72,7 +72,7 @@
 
 
 async def case(record, with_trouble):
-    deployment = Deployment(record, NODES)
+    deployment = Deployment(record, NODES, ["north-a"])
     try:
         await deployment.start([route("order", "/order/", "non_idempotent", attempts=1)])
         await asyncio.sleep(CONTACT_S + 1)
