Forwarding: Log which configuration a refusal goes by, and failed fetches

The logs could not tell whether a late refusal came from an old version in force, from an older copy, or from a process that did not get what a peer had announced. A refusal now names the source and age of the version it was decided by, and the version in force. A version that comes into force names its size, how long it had been announced, and how many fetches failed; a failed fetch is event 313 with what was wanted.

--- a/Libraries/base/include/siskinwharf/base/event.h
+++ b/Libraries/base/include/siskinwharf/base/event.h
@@ -116,6 +116,9 @@
 inline constexpr event_kind configuration_outdated{
     312, event_level::warning, "configuration_outdated",
     "A configuration was read that is older than the one in force."};
+inline constexpr event_kind state_fetch_failed{
+    313, event_level::warning, "state_fetch_failed",
+    "A newer configuration or list of endpoints could not be fetched from the peer that announced it."};
 
 inline constexpr event_kind endpoint_added{400, event_level::info, "endpoint_added",
                                            "An endpoint can be routed to."};
@@ -229,6 +232,7 @@
     configuration_in_force,
     configuration_rejected,
     configuration_outdated,
+    state_fetch_failed,
     endpoint_added,
     endpoint_leaving,
     endpoint_dead,
--- a/Libraries/forwarding/include/siskinwharf/forwarding/deployment_watch.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/deployment_watch.h
@@ -48,15 +48,17 @@
     boost::asio::awaitable<void> expire_endpoints();
 
     /// Activates a configuration that was read in an era of the store, if it is newer than the present one.
-    void apply_configuration(const std::string& text, std::uint64_t era, const char* source);
-    void log_outdated_configuration(const configuration_position& read, const char* source) const;
+    void apply_configuration(const std::string& text, std::uint64_t era, configuration_source source);
+    void log_outdated_configuration(const configuration_position& read, configuration_source source) const;
+    /// Notes since when a peer is known to have a newer configuration.
+    void note_announced(const std::optional<newer_peer>& newer);
     [[nodiscard]] known_versions versions() const;
     enum class list_source { store_list, store_changes, peer_list, peer_changes };
     /// The source for log lines: `store` or `peer`.
     [[nodiscard]] static std::string_view name_of(list_source source);
     void apply_endpoints(endpoint_changes changes, list_source source);
     /// Whether to fetch now what a peer has and this process does not.
-    [[nodiscard]] bool is_fetch_due(const newer_peer& newer);
+    [[nodiscard]] bool is_fetch_due() const;
     void apply_peer_state(const std::string& body);
     void configuration_store_lost(const std::string& reason);
     void configuration_store_regained();
@@ -83,8 +85,9 @@
     monotonic_time m_list_answered{};
     store_position m_list_position;
     configuration_position m_configuration_position;
-    /// Since when a peer has a newer configuration while the store answers this process.
+    /// Since when a peer is known to have a newer configuration.
     std::optional<monotonic_time> m_newer_configuration_seen;
+    std::size_t m_failed_fetches = 0; ///< Since then.
     bool m_is_configuration_lost = true;
     bool m_is_list_lost = true;
     bool m_has_list = false;
--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string_view>
 
 #include "siskinwharf/admission/part_quarantine.h"
 #include "siskinwharf/admission/quarantine.h"
@@ -31,6 +32,19 @@
     monotonic_time end{};
 };
 
+/// From whom a process has its configuration.
+enum class configuration_source { store, peer };
+
+[[nodiscard]] std::string_view to_string(configuration_source source);
+
+/// How and when the configuration in force came into force at this process.
+struct configuration_origin {
+    configuration_source source = configuration_source::store;
+    monotonic_time since{};
+
+    auto operator<=>(const configuration_origin&) const = default;
+};
+
 /// State of a forwarding process: configuration, endpoints, quotas, retry budgets and usage counts. Performs
 /// no I/O. Not thread-safe; used from one thread.
 class traffic_state {
@@ -40,7 +54,8 @@
 
     /// Activates a configuration. Its position was compared with that of the active one by
     /// `deployment_watch`.
-    void set_configuration(deployment::snapshot_content content, monotonic_time now);
+    void set_configuration(deployment::snapshot_content content, monotonic_time now,
+                           configuration_source source = configuration_source::store);
     void set_endpoints(const std::vector<dispatch::endpoint_record>& endpoints, monotonic_time now);
     /// Merges the clock reading of a peer's message.
     void merge_peer_state(const exchange::process_state& state, monotonic_time now);
@@ -55,6 +70,11 @@
     {
         return m_snapshot;
     }
+    /// Of the configuration in force; meaningless if there is none.
+    [[nodiscard]] const configuration_origin& origin_of_configuration() const
+    {
+        return m_configuration_origin;
+    }
     /// Time since the list of endpoints was last set.
     [[nodiscard]] milliseconds endpoints_age(monotonic_time now) const;
     [[nodiscard]] bool is_ready() const { return m_snapshot != nullptr && m_has_endpoints; }
@@ -139,6 +159,7 @@
     process_settings m_settings;
     monotonic_time m_started;
     std::shared_ptr<const deployment::snapshot> m_snapshot;
+    configuration_origin m_configuration_origin;
     dispatch::load_balancer m_balancer;
     bool m_has_endpoints = false;
     monotonic_time m_endpoints_set{};
--- a/Libraries/forwarding/src/deployment_watch.cpp
+++ b/Libraries/forwarding/src/deployment_watch.cpp
@@ -12,6 +12,7 @@
 #include <boost/json/serialize.hpp>
 #include <fmt/format.h>
 
+#include "peer_table_times.h"
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/base/hash.h"
 #include "siskinwharf/http/error.h"
@@ -128,7 +129,7 @@
             }
             position = stored.position;
             if (stored.text)
-                apply_configuration(*stored.text, stored.position.era, "store");
+                apply_configuration(*stored.text, stored.position.era, configuration_source::store);
         } catch (const history_lost&) {
             position.reset();
         } catch (const store_unavailable& error) {
@@ -152,7 +153,8 @@
         log_event(event::platform_available, {{"service", "configuration"}});
 }
 
-void deployment_watch::apply_configuration(const std::string& text, std::uint64_t era, const char* source)
+void deployment_watch::apply_configuration(const std::string& text, std::uint64_t era,
+                                           configuration_source source)
 {
     try {
         auto content = m_store.decode_configuration(text);
@@ -169,28 +171,47 @@
             return;
         const auto idle_timeout = content.limits.idle_timeout;
         const auto* access = content.access == deployment::caller_access::everyone ? "everyone" : "keys";
-        m_state.set_configuration(std::move(content), std::chrono::steady_clock::now());
+        const auto now = std::chrono::steady_clock::now();
+        const auto announced = m_newer_configuration_seen.value_or(now);
+        m_state.set_configuration(std::move(content), now, source);
         m_configuration_text = text;
-        log_event(event::configuration_in_force, {{"version", std::to_string(position.version)},
-                                                  {"source", source},
-                                                  {"era", std::to_string(era)},
-                                                  {"access", access},
-                                                  {"idle_timeout_ms", std::to_string(idle_timeout.count())}});
+        log_event(event::configuration_in_force,
+                  {{"version", std::to_string(position.version)},
+                   {"source", std::string(to_string(source))},
+                   {"era", std::to_string(era)},
+                   {"bytes", std::to_string(text.size())},
+                   {"announced_ms", std::to_string(elapsed(announced, now).count())},
+                   {"failed_fetches", std::to_string(m_failed_fetches)},
+                   {"access", access},
+                   {"idle_timeout_ms", std::to_string(idle_timeout.count())}});
+        m_newer_configuration_seen.reset();
+        m_failed_fetches = 0;
         m_on_configuration();
     } catch (const invalid_entry& error) {
-        log_event(event::configuration_rejected, {{"source", source}, {"reason", error.what()}});
+        log_event(event::configuration_rejected,
+                  {{"source", std::string(to_string(source))}, {"reason", error.what()}});
+    }
+}
+
+void deployment_watch::note_announced(const std::optional<newer_peer>& newer)
+{
+    if (!newer || newer->versions.configuration <= m_configuration_position) {
+        m_newer_configuration_seen.reset();
+        m_failed_fetches = 0;
+        return;
     }
+    m_newer_configuration_seen = m_newer_configuration_seen.value_or(std::chrono::steady_clock::now());
 }
 
 void deployment_watch::log_outdated_configuration(const configuration_position& read,
-                                                  const char* source) const
+                                                  configuration_source source) const
 {
     if (read.version < m_configuration_position.version)
         log_event(event::configuration_outdated,
                   {{"version", std::to_string(read.version)},
                    {"era", std::to_string(read.era)},
                    {"in_force", std::to_string(m_configuration_position.version)},
-                   {"source", source}});
+                   {"source", std::string(to_string(source))}});
 }
 
 known_versions deployment_watch::versions() const
@@ -338,18 +359,13 @@
     }
 }
 
-bool deployment_watch::is_fetch_due(const newer_peer& newer)
+bool deployment_watch::is_fetch_due() const
 {
     if (m_is_configuration_lost || m_is_list_lost || follows_peers())
         return true;
     // The store answers this process, but after a restore it may have an older configuration than a peer.
-    if (newer.versions.configuration <= m_configuration_position) {
-        m_newer_configuration_seen.reset();
-        return false;
-    }
-    const auto now = std::chrono::steady_clock::now();
-    m_newer_configuration_seen = m_newer_configuration_seen.value_or(now);
-    return now - *m_newer_configuration_seen >= store_lag;
+    return m_newer_configuration_seen &&
+           std::chrono::steady_clock::now() - *m_newer_configuration_seen >= store_lag;
 }
 
 asio::awaitable<void> deployment_watch::watch_peers()
@@ -358,8 +374,10 @@
         m_peer_timer.expires_after(peer_interval);
         co_await m_peer_timer.async_wait(asio::as_tuple(asio::use_awaitable));
         const auto newer = m_peers.find_newer_peer();
-        if (!newer || !is_fetch_due(*newer))
+        note_announced(newer);
+        if (!newer || !is_fetch_due())
             continue;
+        const auto asked = std::chrono::steady_clock::now();
         try {
             auto query = fmt::format("configuration={}&configuration_era={}&list={}&era={}",
                                      m_configuration_position.version, m_configuration_position.era,
@@ -369,7 +387,15 @@
             const auto response = co_await m_client.call(target, std::move(message), peer_timeout);
             apply_peer_state(response.body);
         } catch (const http::call_error& error) {
-            log_event(event::peer_suspected, {{"address", newer->address.ip}, {"reason", error.what()}});
+            ++m_failed_fetches;
+            log_event(event::state_fetch_failed,
+                      {{"address", newer->address.ip},
+                       {"configuration", std::to_string(newer->versions.configuration.version)},
+                       {"in_force", std::to_string(m_configuration_position.version)},
+                       {"list", to_string(newer->versions.list)},
+                       {"own_list", to_string(m_list_position)},
+                       {"taken_ms", std::to_string(elapsed(asked, std::chrono::steady_clock::now()).count())},
+                       {"reason", error.what()}});
         }
     }
 }
@@ -404,7 +430,7 @@
             return era == nullptr ? 0 : era->to_number<std::uint64_t>();
         };
         if (const auto& text = state.at("configuration").as_string(); !text.empty())
-            apply_configuration(std::string(text), era_of("configuration_era"), "peer");
+            apply_configuration(std::string(text), era_of("configuration_era"), configuration_source::peer);
         endpoint_changes changes;
         changes.position = {era_of("list_era"), state.at("list_version").to_number<std::uint64_t>()};
         const bool is_whole_list = state.at("whole_list").as_bool();
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -62,6 +62,7 @@
       m_writer(writer),
       m_started(std::chrono::steady_clock::now()),
       m_snapshot(state.configuration()),
+      m_configuration_origin(state.origin_of_configuration()),
       m_control(std::make_shared<http::call_control>()),
       m_held_answer(state.memory())
 {
@@ -350,6 +351,8 @@
 {
     if (reason.result == outcome::not_run && m_account != nullptr && m_quota_taken > 0)
         m_state.refund_quota(*m_account, m_quota_taken, std::chrono::steady_clock::now());
+    const auto configuration_age =
+        duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_configuration_origin.since);
     log_event(
         event::request_refused,
         {{"request", m_call.id.value()},
@@ -358,6 +361,10 @@
          {"detail", reason.message},
          {"outcome", std::string(to_string(reason.result))},
          {"configuration", std::to_string(m_snapshot ? m_snapshot->version() : 0)},
+         {"configuration_source",
+          m_snapshot ? std::string(to_string(m_configuration_origin.source)) : "none"},
+         {"configuration_age_ms", std::to_string(m_snapshot ? configuration_age.count() : 0)},
+         {"in_force", std::to_string(m_state.configuration() ? m_state.configuration()->version() : 0)},
          {"retry_after_ms", reason.retry_after ? std::to_string(reason.retry_after->count()) : "none"}});
     m_metrics
         .find_counter("siskinwharf_refusals_total", "Refused requests by reason.",
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -162,6 +162,8 @@
 
     const monotonic_time m_started;
     std::shared_ptr<const deployment::snapshot> m_snapshot;
+    /// Of `m_snapshot`.
+    configuration_origin m_configuration_origin;
     const deployment::route* m_route = nullptr;
     const deployment::account* m_account = nullptr;
     const deployment::service* m_service = nullptr;
--- a/Libraries/forwarding/src/traffic_state.cpp
+++ b/Libraries/forwarding/src/traffic_state.cpp
@@ -99,8 +99,15 @@
 {
 }
 
-void traffic_state::set_configuration(deployment::snapshot_content content, monotonic_time now)
+std::string_view to_string(configuration_source source)
 {
+    return source == configuration_source::store ? "store" : "peer";
+}
+
+void traffic_state::set_configuration(deployment::snapshot_content content, monotonic_time now,
+                                      configuration_source source)
+{
+    m_configuration_origin = {source, now};
     m_snapshot = std::make_shared<const deployment::snapshot>(std::move(content));
     m_quotas.set_accounts(m_snapshot->content().accounts, now);
     m_software.set_stream_lifetime(stream_lifetime(m_snapshot->content()));
