Forwarding: Ask other peers and the store for what one peer does not deliver

Callers were refused by a configuration older than the one acknowledged. A process that follows the readers of its failure domain asked the best peer by version and rank, for 1 s, and then the same peer again. Nothing made it read the store while two readers seemed to work. So a peer that announced a version and did not deliver it kept others from it, and a change of the endpoint list waited behind a large configuration.

update_fetch_plan decides from whom an item is fetched: own failure domain first, a second peer after 0.25 s, a failed one left out for 2 s, and the store after 0.5 s. Configuration and list are fetched apart.

--- a/Libraries/forwarding/include/siskinwharf/forwarding/deployment_watch.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/deployment_watch.h
@@ -7,12 +7,12 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "siskinwharf/dispatch/endpoint_list_cache.h"
 #include "siskinwharf/forwarding/deployment_store.h"
 #include "siskinwharf/forwarding/endpoint_change_log.h"
 #include "siskinwharf/forwarding/peer_exchange.h"
+#include "siskinwharf/forwarding/peer_follower.h"
 #include "siskinwharf/forwarding/process_registrar.h"
 #include "siskinwharf/forwarding/traffic_state.h"
 #include "siskinwharf/http/client.h"
@@ -42,7 +42,6 @@
 private:
     boost::asio::awaitable<void> watch_configuration();
     boost::asio::awaitable<void> watch_endpoints();
-    boost::asio::awaitable<void> watch_peers();
     /// The newest era of the store that this process has seen or heard of.
     [[nodiscard]] std::uint64_t known_era() const;
     boost::asio::awaitable<void> expire_endpoints();
@@ -50,16 +49,18 @@
     /// Activates a configuration that was read in an era of the store, if it is newer than the present one.
     void apply_configuration(const std::string& text, std::uint64_t era, configuration_source source);
     void log_outdated_configuration(const configuration_position& read, configuration_source source) const;
-    /// Notes since when a peer is known to have a newer configuration.
-    void note_announced(const std::optional<newer_peer>& newer);
     [[nodiscard]] known_versions versions() const;
     enum class list_source { store_list, store_changes, peer_list, peer_changes };
     /// The source for log lines: `store` or `peer`.
     [[nodiscard]] static std::string_view name_of(list_source source);
     void apply_endpoints(endpoint_changes changes, list_source source);
-    /// Whether to fetch now what a peer has and this process does not.
-    [[nodiscard]] bool is_fetch_due() const;
-    void apply_peer_state(const std::string& body);
+    /// Whether an item is fetched from peers that have had a newer version for this time.
+    [[nodiscard]] bool is_fetched(shared_item item, milliseconds missing) const;
+    /// Applies a peer's answer to a request for an item. Returns whether it held a newer version of it.
+    bool apply_peer_state(shared_item item, const std::string& body);
+    void apply_peer_list(const store_position& position, const endpoint_change_log::changes& list);
+    /// Whether peers keep an item up to date, and have it in time.
+    [[nodiscard]] bool follows_peers(shared_item item) const;
     void configuration_store_lost(const std::string& reason);
     void configuration_store_regained();
     void endpoint_store_lost(const std::string& reason);
@@ -77,17 +78,14 @@
     peer_exchange& m_peers;
     std::function<void()> m_on_configuration;
     process_registrar m_registrar;
+    peer_follower m_follower;
     dispatch::endpoint_list_cache m_endpoint_list;
     std::string m_configuration_text;
     endpoint_change_log m_entries;
-    boost::asio::steady_timer m_peer_timer; ///< Interval between checks for newer versions at peers.
     monotonic_time m_configuration_answered{};
     monotonic_time m_list_answered{};
     store_position m_list_position;
     configuration_position m_configuration_position;
-    /// Since when a peer is known to have a newer configuration.
-    std::optional<monotonic_time> m_newer_configuration_seen;
-    std::size_t m_failed_fetches = 0; ///< Since then.
     bool m_is_configuration_lost = true;
     bool m_is_list_lost = true;
     bool m_has_list = false;
--- a/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
@@ -65,9 +65,8 @@
     /// Whether the deployment has relays and this process is none. It learns from them what other failure
     /// domains say, and leaves to them what needs only a few processes.
     [[nodiscard]] bool relies_on_relays() const;
-    /// Returns the peer with the newest configuration or endpoint list if it is newer than that of this
-    /// process.
-    [[nodiscard]] std::optional<newer_peer> find_newer_peer() const;
+    /// Returns the peers that have a newer version of an item than this process.
+    [[nodiscard]] std::vector<update_offer> offers(shared_item item) const;
     /// Returns the demand for a service in each failure domain, summed over this process and all live peers.
     [[nodiscard]] std::map<failure_domain_id, exchange::service_demand>
     demand_of(const service_id& service) const;
--- a/Libraries/forwarding/include/siskinwharf/forwarding/peer_table.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/peer_table.h
@@ -11,23 +11,10 @@
 #include "siskinwharf/forwarding/peer_view.h"
 #include "siskinwharf/forwarding/process_settings.h"
 #include "siskinwharf/forwarding/registration_table.h"
+#include "siskinwharf/forwarding/update_offer.h"
 
 namespace siskinwharf::forwarding {
 
-/// Positions of the configuration and of the endpoint list.
-struct known_versions {
-    configuration_position configuration;
-    store_position list;
-
-    auto operator<=>(const known_versions&) const = default;
-};
-
-/// A peer with a newer configuration or endpoint list than this process, and the address to fetch them from.
-struct newer_peer {
-    settings::socket_address address;
-    known_versions versions;
-};
-
 /// What this process knows of its peers, from the store and from their messages. Performs no I/O.
 ///
 /// In a small deployment every process tells every other its state. In a larger one each failure domain has
@@ -121,9 +108,10 @@
     [[nodiscard]] exchange::lease_sighting lease_sighting(monotonic_time now) const;
     /// Whether a peer was seen recently to hold the lease.
     [[nodiscard]] bool has_live_lease_holder(monotonic_time now) const;
-    /// Returns the peer with the newest configuration or endpoint list if it is newer than `own`.
-    [[nodiscard]] std::optional<newer_peer> find_newer_peer(const known_versions& own,
-                                                            monotonic_time now) const;
+    /// Returns the peers that were heard lately and have a newer `item` than `own`. Their ranks differ
+    /// between processes, so that those that miss the same version ask different peers for it.
+    [[nodiscard]] std::vector<update_offer> offers(shared_item item, const known_versions& own,
+                                                   monotonic_time now) const;
     /// Returns since when an era of the store is known: the earliest time that a peer tells, or `own`.
     [[nodiscard]] monotonic_time era_known_since(std::uint64_t era, monotonic_time own) const;
     /// Returns the demand for a service at the peers of each failure domain. At a relay, or without relays,
--- a/Libraries/forwarding/src/deployment_watch.cpp
+++ b/Libraries/forwarding/src/deployment_watch.cpp
@@ -8,27 +8,18 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
-#include <fmt/format.h>
 
-#include "peer_table_times.h"
 #include "siskinwharf/base/event_log.h"
-#include "siskinwharf/base/hash.h"
-#include "siskinwharf/http/error.h"
+#include "state_text.h"
 
 namespace siskinwharf::forwarding {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 
 namespace {
 
 /// Delay between attempts while the store does not answer.
 constexpr milliseconds retry_interval{300};
-/// Interval between checks for newer versions at peers.
-constexpr milliseconds peer_interval{250};
-constexpr milliseconds peer_timeout{1'000};
 constexpr milliseconds expiry_check_interval{250};
 /// Interval between checks whether this process must read the store itself.
 constexpr milliseconds follow_interval{100};
@@ -57,17 +48,20 @@
       m_peers(peers),
       m_on_configuration(std::move(on_configuration)),
       m_registrar(context, store, state, peers, [this] { return known_era(); }),
-      m_peer_timer(context)
+      m_follower(context, client, peers,
+                 {[this](shared_item item, milliseconds missing) { return is_fetched(item, missing); },
+                  [this](shared_item item, const std::string& body) {
+                      return apply_peer_state(item, body);
+                  }})
 {
-    m_peers.on_newer_versions([this] { m_peer_timer.cancel(); });
 }
 
 void deployment_watch::start()
 {
     asio::co_spawn(m_context, watch_configuration(), asio::detached);
     asio::co_spawn(m_context, watch_endpoints(), asio::detached);
-    asio::co_spawn(m_context, watch_peers(), asio::detached);
     asio::co_spawn(m_context, expire_endpoints(), asio::detached);
+    m_follower.start();
 }
 
 void deployment_watch::register_process(registered_process self)
@@ -91,10 +85,17 @@
     return m_has_list && m_state.configuration() != nullptr && !m_peers.is_store_reader();
 }
 
+bool deployment_watch::follows_peers(shared_item item) const
+{
+    return follows_peers() && !m_follower.must_read_store(item);
+}
+
 void deployment_watch::record_store_answer(monotonic_time& answered)
 {
     answered = std::chrono::steady_clock::now();
-    m_peers.set_store_reading(true, std::min(m_configuration_answered, m_list_answered));
+    // A process that reads once what peers did not deliver is no reader for them.
+    if (!follows_peers())
+        m_peers.set_store_reading(true, std::min(m_configuration_answered, m_list_answered));
 }
 
 milliseconds deployment_watch::long_poll_time() const
@@ -106,7 +107,7 @@
 {
     std::optional<store_position> position;
     while (true) {
-        if (follows_peers()) {
+        if (follows_peers(shared_item::configuration)) {
             position.reset();
             m_is_configuration_lost = false;
             co_await pause(follow_interval);
@@ -172,7 +173,7 @@
         const auto idle_timeout = content.limits.idle_timeout;
         const auto* access = content.access == deployment::caller_access::everyone ? "everyone" : "keys";
         const auto now = std::chrono::steady_clock::now();
-        const auto announced = m_newer_configuration_seen.value_or(now);
+        const auto& plan = m_follower.plan(shared_item::configuration);
         m_state.set_configuration(std::move(content), now, source);
         m_configuration_text = text;
         log_event(event::configuration_in_force,
@@ -180,12 +181,10 @@
                    {"source", std::string(to_string(source))},
                    {"era", std::to_string(era)},
                    {"bytes", std::to_string(text.size())},
-                   {"announced_ms", std::to_string(elapsed(announced, now).count())},
-                   {"failed_fetches", std::to_string(m_failed_fetches)},
+                   {"announced_ms", std::to_string(plan.missing_time(now).count())},
+                   {"failed_fetches", std::to_string(plan.failures())},
                    {"access", access},
                    {"idle_timeout_ms", std::to_string(idle_timeout.count())}});
-        m_newer_configuration_seen.reset();
-        m_failed_fetches = 0;
         m_on_configuration();
     } catch (const invalid_entry& error) {
         log_event(event::configuration_rejected,
@@ -193,16 +192,6 @@
     }
 }
 
-void deployment_watch::note_announced(const std::optional<newer_peer>& newer)
-{
-    if (!newer || newer->versions.configuration <= m_configuration_position) {
-        m_newer_configuration_seen.reset();
-        m_failed_fetches = 0;
-        return;
-    }
-    m_newer_configuration_seen = m_newer_configuration_seen.value_or(std::chrono::steady_clock::now());
-}
-
 void deployment_watch::log_outdated_configuration(const configuration_position& read,
                                                   configuration_source source) const
 {
@@ -223,8 +212,9 @@
 {
     std::optional<store_position> position;
     while (true) {
-        if (follows_peers()) {
+        if (follows_peers())
             m_peers.set_store_reading(false, {});
+        if (follows_peers(shared_item::endpoint_list)) {
             position = m_list_position;
             // The peers that this process follows are answered by the store.
             endpoint_store_regained();
@@ -359,99 +349,54 @@
     }
 }
 
-bool deployment_watch::is_fetch_due() const
+bool deployment_watch::is_fetched(shared_item item, milliseconds missing) const
 {
     if (m_is_configuration_lost || m_is_list_lost || follows_peers())
         return true;
     // The store answers this process, but after a restore it may have an older configuration than a peer.
-    return m_newer_configuration_seen &&
-           std::chrono::steady_clock::now() - *m_newer_configuration_seen >= store_lag;
-}
-
-asio::awaitable<void> deployment_watch::watch_peers()
-{
-    while (true) {
-        m_peer_timer.expires_after(peer_interval);
-        co_await m_peer_timer.async_wait(asio::as_tuple(asio::use_awaitable));
-        const auto newer = m_peers.find_newer_peer();
-        note_announced(newer);
-        if (!newer || !is_fetch_due())
-            continue;
-        const auto asked = std::chrono::steady_clock::now();
-        try {
-            auto query = fmt::format("configuration={}&configuration_era={}&list={}&era={}",
-                                     m_configuration_position.version, m_configuration_position.era,
-                                     m_list_position.version, m_list_position.era);
-            http::request message{"GET", "/state", std::move(query), {}, ""};
-            const http::address target{newer->address.ip, newer->address.port};
-            const auto response = co_await m_client.call(target, std::move(message), peer_timeout);
-            apply_peer_state(response.body);
-        } catch (const http::call_error& error) {
-            ++m_failed_fetches;
-            log_event(event::state_fetch_failed,
-                      {{"address", newer->address.ip},
-                       {"configuration", std::to_string(newer->versions.configuration.version)},
-                       {"in_force", std::to_string(m_configuration_position.version)},
-                       {"list", to_string(newer->versions.list)},
-                       {"own_list", to_string(m_list_position)},
-                       {"taken_ms", std::to_string(elapsed(asked, std::chrono::steady_clock::now()).count())},
-                       {"reason", error.what()}});
-        }
-    }
+    return item == shared_item::configuration && missing >= store_lag;
 }
 
 std::string deployment_watch::encode_state(const known_versions& versions) const
 {
-    const auto changes = m_entries.since(versions.list);
-    json::array endpoints;
-    for (const auto& change : changes.entries)
-        endpoints.push_back(
-            json::object{{"id", change.id.value()}, {"text", change.text}, {"removed", change.is_removed}});
     const bool has_newer = m_configuration_position > versions.configuration;
-    return json::serialize(json::object{{"configuration_era", m_configuration_position.era},
-                                        {"configuration", has_newer ? m_configuration_text : std::string()},
-                                        {"list_version", m_list_position.version},
-                                        {"list_era", m_list_position.era},
-                                        {"whole_list", changes.is_whole_list},
-                                        {"endpoints", std::move(endpoints)}});
+    return encode_answer(
+        {this->versions(), has_newer ? m_configuration_text : std::string(), m_entries.since(versions.list)});
 }
 
-void deployment_watch::apply_peer_state(const std::string& body)
+bool deployment_watch::apply_peer_state(shared_item item, const std::string& body)
 {
-    boost::system::error_code error;
-    const auto parsed = json::parse(body, error);
-    if (error || !parsed.is_object())
-        return log_event(event::peer_message_rejected, {{"reason", "the state is not a JSON object"}});
+    const auto before = versions();
     try {
-        const auto& state = parsed.as_object();
-        const auto era_of = [&](std::string_view name) {
-            // Missing in the state of a process of an older program version.
-            const auto* era = state.if_contains(name);
-            return era == nullptr ? 0 : era->to_number<std::uint64_t>();
-        };
-        if (const auto& text = state.at("configuration").as_string(); !text.empty())
-            apply_configuration(std::string(text), era_of("configuration_era"), configuration_source::peer);
-        endpoint_changes changes;
-        changes.position = {era_of("list_era"), state.at("list_version").to_number<std::uint64_t>()};
-        const bool is_whole_list = state.at("whole_list").as_bool();
-        // Changes are those after the position of the request, which may be of an older era.
-        if (changes.position <= m_list_position ||
-            (!is_whole_list && changes.position.era != m_list_position.era))
-            return;
-        for (const auto& entry : state.at("endpoints").as_array()) {
-            const endpoint_id id{std::string(entry.at("id").as_string())};
-            if (entry.at("removed").as_bool())
-                changes.endpoints.push_back({id, "", std::nullopt, true});
-            else
-                changes.endpoints.push_back(
-                    m_store.decode_endpoint(id, std::string(entry.at("text").as_string())));
-        }
-        apply_endpoints(std::move(changes),
-                        is_whole_list ? list_source::peer_list : list_source::peer_changes);
-    } catch (const std::exception& failure) {
-        // Boost.JSON throws different exception types for missing members and for type mismatches.
+        const auto answer = decode_answer(body);
+        if (!answer.configuration_text.empty())
+            apply_configuration(answer.configuration_text, answer.versions.configuration.era,
+                                configuration_source::peer);
+        // The list in an answer to a request for the configuration starts at the peer's own position.
+        if (item == shared_item::endpoint_list)
+            apply_peer_list(answer.versions.list, answer.list);
+    } catch (const invalid_entry& failure) {
         log_event(event::peer_message_rejected, {{"reason", failure.what()}});
     }
+    return versions().is_newer(item, before);
+}
+
+void deployment_watch::apply_peer_list(const store_position& position,
+                                       const endpoint_change_log::changes& list)
+{
+    // Changes are those after the position of the request, which may be of an older era.
+    if (position <= m_list_position || (!list.is_whole_list && position.era != m_list_position.era))
+        return;
+    endpoint_changes changes;
+    changes.position = position;
+    for (const auto& entry : list.entries) {
+        if (entry.is_removed)
+            changes.endpoints.push_back({entry.id, "", std::nullopt, true});
+        else
+            changes.endpoints.push_back(m_store.decode_endpoint(entry.id, entry.text));
+    }
+    apply_endpoints(std::move(changes),
+                    list.is_whole_list ? list_source::peer_list : list_source::peer_changes);
 }
 
 } // namespace siskinwharf::forwarding
--- a/Libraries/forwarding/src/peer_exchange.cpp
+++ b/Libraries/forwarding/src/peer_exchange.cpp
@@ -449,9 +449,9 @@
     return m_table.uses_relays() && !m_table.is_relay(std::chrono::steady_clock::now());
 }
 
-std::optional<newer_peer> peer_exchange::find_newer_peer() const
+std::vector<update_offer> peer_exchange::offers(shared_item item) const
 {
-    return m_table.find_newer_peer(m_versions, std::chrono::steady_clock::now());
+    return m_table.offers(item, m_versions, std::chrono::steady_clock::now());
 }
 
 std::map<failure_domain_id, exchange::service_demand>
--- a/Libraries/forwarding/src/peer_table_sums.cpp
+++ b/Libraries/forwarding/src/peer_table_sums.cpp
@@ -45,32 +45,26 @@
     return seen.number != 0 && seen.age <= limit;
 }
 
-std::optional<newer_peer> peer_table::find_newer_peer(const known_versions& own, monotonic_time now) const
+std::vector<update_offer> peer_table::offers(shared_item item, const known_versions& own,
+                                             monotonic_time now) const
 {
-    std::optional<newer_peer> best;
-    std::uint64_t best_rank = 0;
+    std::vector<update_offer> result;
     const auto own_hash = hash64(m_settings.instance.value());
     const auto add = [&](const instance_id& id, const settings::socket_address& address,
-                         const known_versions& versions) {
-        if (versions.configuration <= own.configuration && versions.list <= own.list)
-            return;
-        const auto known = best ? best->versions : known_versions{};
-        // Processes that miss the same version ask different peers for it.
-        const auto rank = combine64(own_hash, hash64(id.value()));
-        if (versions < known || (best && versions == known && rank <= best_rank))
-            return;
-        best = newer_peer{address, versions};
-        best_rank = rank;
+                         const known_versions& versions, const failure_domain_id& domain) {
+        if (versions.is_newer(item, own))
+            result.push_back({id, address, versions, domain == m_settings.domain,
+                              combine64(own_hash, hash64(id.value()))});
     };
     for (const auto& [id, entry] : m_peers) {
         if (condition_of(entry, now) == condition::alive)
-            add(id, entry.address, {entry.state->configuration, entry.state->list});
+            add(id, entry.address, {entry.state->configuration, entry.state->list}, entry.state->domain);
     }
     for (const auto& [id, entry] : m_domain_reports) {
         if (now - entry.heard <= relay_timeout)
-            add(id, entry.address, {entry.report.configuration, entry.report.list});
+            add(id, entry.address, {entry.report.configuration, entry.report.list}, entry.report.domain);
     }
-    return best;
+    return result;
 }
 
 monotonic_time peer_table::era_known_since(std::uint64_t era, monotonic_time own) const
--- a/Libraries/forwarding/tests/peer_table_test.cpp
+++ b/Libraries/forwarding/tests/peer_table_test.cpp
@@ -5,6 +5,7 @@
 
 #include "siskinwharf/forwarding/peer_table.h"
 #include "siskinwharf/forwarding/quota_table.h"
+#include "siskinwharf/forwarding/update_fetch_plan.h"
 
 namespace siskinwharf::forwarding {
 
@@ -224,7 +225,10 @@
             state.list = {1, 8};
             table.take(state, "10.0.0.1", start);
         }
-        const auto newer = table.find_newer_peer({{}, {1, 7}}, start);
+        const known_versions own{{}, {1, 7}};
+        update_fetch_plan plan(shared_item::endpoint_list);
+        plan.observe(table.offers(shared_item::endpoint_list, own, start), own, start);
+        const auto newer = plan.next(start);
         REQUIRE(newer);
         CHECK(newer->versions.list == store_position{1, 8});
         asked.insert(newer->address.port);
