Forwarding: Bound what a process sends to peers that fetch its state

All processes of a region ask the first one that announces a version, at once. A text of 90 to 300 KB for some 20 processes takes seconds on a link of 10 Mbit/s; each transfer was cut after 1 s, and what was sent was lost.

--- a/Libraries/forwarding/include/siskinwharf/forwarding/process_settings.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/process_settings.h
@@ -46,6 +46,8 @@
     bool orders_endpoints = false;
     /// Memory with which the platform ends the process.
     std::uint64_t memory_bytes = 256'000'000;
+    /// Rate of the instance's network link, in bytes a second.
+    std::uint64_t link_rate = 125'000'000;
     service_bounds bounds;
 
     auto operator<=>(const process_settings&) const = default;
--- a/Libraries/forwarding/tests/update_fetch_plan_test.cpp
+++ b/Libraries/forwarding/tests/update_fetch_plan_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "siskinwharf/forwarding/transfer_budget.h"
 #include "siskinwharf/forwarding/update_fetch_plan.h"
 
 namespace siskinwharf::forwarding {
@@ -65,4 +66,22 @@
     CHECK_FALSE(plan.is_missing());
 }
 
+TEST_CASE("transfers to peers leave most of the link to callers")
+{
+    // Guards against a reader on a slow link that sends a large text to all processes of its region at once.
+    transfer_budget budget(1'250'000);
+    constexpr std::uint64_t text = 150'000;
+    int sent = 0;
+    for (int asked = 0; asked < 23; ++asked)
+        sent += budget.try_take(text, start) ? 1 : 0;
+    CHECK(sent == 2);
+    // Changes of the endpoint list are small.
+    CHECK(budget.try_take(2'000, start));
+    CHECK_FALSE(budget.try_take(text, start + milliseconds(200)));
+    CHECK(budget.try_take(text, start + seconds(1)));
+    // A text larger than the budget of a second is sent when nothing else is.
+    CHECK(budget.try_take(4'000'000, start + seconds(3)));
+    CHECK_FALSE(budget.try_take(text, start + seconds(10)));
+}
+
 } // namespace siskinwharf::forwarding
--- a/Services/siskinwharfd/src/forwarding_process.cpp
+++ b/Services/siskinwharfd/src/forwarding_process.cpp
@@ -24,6 +24,7 @@
 #include "siskinwharf/forwarding/process_origin_source.h"
 #include "siskinwharf/forwarding/request_runner.h"
 #include "siskinwharf/forwarding/software_record.h"
+#include "siskinwharf/forwarding/transfer_budget.h"
 #include "siskinwharf/platform/call_headers.h"
 #include "siskinwharf/platform/duty_client.h"
 #include "siskinwharf/platform/settings_file.h"
@@ -142,6 +143,7 @@
           m_runner(m_context.get_executor(), m_state, m_codec, m_client, m_metrics, m_origins),
           m_watch(m_context, m_store, m_client, m_state, m_peers, [this] { apply_limits(); }),
           m_duties(m_context, m_settings, m_store, m_duty_client, m_state, m_peers, m_software, m_start),
+          m_transfers(m_settings.link_rate),
           m_callers(m_context, to_address(m_settings.callers), limits_of({}),
                     [this](http::request message, http::response_writer& writer) {
                         return m_runner.handle(std::move(message), writer);
@@ -294,7 +296,13 @@
 
     asio::awaitable<void> answer_peer(http::request message, http::response_writer& writer)
     {
-        auto answer = http::json_response(200, m_watch.encode_state(versions_of(message)));
+        auto state = m_watch.encode_state(versions_of(message));
+        if (!m_transfers.try_take(state.size(), std::chrono::steady_clock::now())) {
+            http::response refusal{not_ready_status, {}, ""};
+            co_await writer.send(std::move(refusal));
+            co_return;
+        }
+        auto answer = http::json_response(200, std::move(state));
         co_await writer.send(std::move(answer));
     }
 
@@ -322,6 +330,7 @@
     forwarding::request_runner m_runner;
     forwarding::deployment_watch m_watch;
     forwarding::duty_runner m_duties;
+    forwarding::transfer_budget m_transfers;
     http::server m_callers;
     http::server m_readiness;
     http::server m_peer_server;
