Dispatch: Replace a reader of the store that has sent nothing for a second

A process relied on a reader for 1.6 s after the store had last answered it, whether the reader was heard or not. A reader sends a message every 250 ms, so one of which nothing came for 1 s does not count.

--- a/Libraries/dispatch/include/siskinwharf/dispatch/store_readers.h
+++ b/Libraries/dispatch/include/siskinwharf/dispatch/store_readers.h
@@ -14,6 +14,8 @@
     bool is_reading = false; ///< It reads the store's changes itself.
     /// Time since the store last answered it; used only if it is reading.
     milliseconds store_response_age{0};
+    /// Time since its last message; used only if it is reading.
+    milliseconds silence{0};
 
     auto operator<=>(const store_reader_candidate&) const = default;
 };
@@ -22,6 +24,10 @@
 /// store wait for up to 1 s, its messages arrive every 250 ms, and a change must be known within 3 s.
 inline constexpr milliseconds maximum_reader_staleness{1'600};
 
+/// Maximum time without a message from a reader on which other processes rely. It sends one every 250 ms; one
+/// that sends none may have read a change that it cannot announce.
+inline constexpr milliseconds maximum_reader_silence{1'000};
+
 /// Minimum number of processes in a failure domain that shares readers. In smaller domains sharing saves
 /// nothing, so each process reads the store.
 inline constexpr std::size_t minimum_shared_domain_size = 5;
--- a/Libraries/dispatch/src/store_readers.cpp
+++ b/Libraries/dispatch/src/store_readers.cpp
@@ -13,7 +13,8 @@
 
 bool is_working_reader(const store_reader_candidate& candidate)
 {
-    return candidate.is_reading && candidate.store_response_age <= maximum_reader_staleness;
+    return candidate.is_reading && candidate.store_response_age <= maximum_reader_staleness &&
+           candidate.silence <= maximum_reader_silence;
 }
 
 } // namespace
--- a/Libraries/dispatch/tests/store_readers_test.cpp
+++ b/Libraries/dispatch/tests/store_readers_test.cpp
@@ -79,4 +79,24 @@
     CHECK(processes.readers() == first);
 }
 
+TEST_CASE("a reader that is not heard is replaced before its last answer from the store is old")
+{
+    // Guards against a change that both readers of a failure domain read, or missed, just before they died.
+    domain processes(10);
+    processes.step();
+    processes.step();
+    const auto first = processes.readers();
+    REQUIRE(first.size() == 2);
+    for (const auto index : first) {
+        processes.candidates[index].store_response_age = milliseconds(1'100);
+        processes.candidates[index].silence = maximum_reader_silence;
+    }
+    processes.step();
+    CHECK(processes.readers() == first);
+    for (const auto index : first)
+        processes.candidates[index].silence = maximum_reader_silence + milliseconds(1);
+    processes.step();
+    CHECK(processes.readers().size() == 10);
+}
+
 } // namespace siskinwharf::dispatch
--- a/Libraries/forwarding/src/peer_table.cpp
+++ b/Libraries/forwarding/src/peer_table.cpp
@@ -438,7 +438,8 @@
     std::vector<dispatch::store_reader_candidate> others;
     for (const auto& [id, entry] : m_peers) {
         if (is_in_domain(entry) && !entry.state->is_leaving && condition_of(entry, now) == condition::alive)
-            others.push_back({id, entry.is_reading, elapsed(entry.store_answered, now)});
+            others.push_back(
+                {id, entry.is_reading, elapsed(entry.store_answered, now), elapsed(entry.last_contact, now)});
     }
     return others;
 }
--- a/Libraries/forwarding/tests/update_spread_test.cpp
+++ b/Libraries/forwarding/tests/update_spread_test.cpp
@@ -134,8 +134,9 @@
             dispatch::store_reader_candidate candidate{other->id};
             if (const auto heard = each.heard_readers.find(other->id); heard != each.heard_readers.end()) {
                 candidate = heard->second;
-                candidate.store_response_age +=
+                candidate.silence =
                     std::chrono::duration_cast<milliseconds>(m_now - each.heard_at.at(other->id));
+                candidate.store_response_age += candidate.silence;
             }
             others.push_back(candidate);
         }
