Forwarding: Pass requests to a peer while no endpoint is reached

A request was tried at three endpoints, 0.4 s each, and refused; refused connections counted as crashes of sound endpoints.

A process that has lost its paths passes requests as they came to a peer, on a port of its own, one hop at most; the peer decides all else. Crashes do not count meanwhile.

--- a/Libraries/base/include/siskinwharf/base/event.h
+++ b/Libraries/base/include/siskinwharf/base/event.h
@@ -94,6 +94,11 @@
 inline constexpr event_kind connection_lost{
     232, event_level::info, "connection_lost",
     "A connection failed, not by this process, before a request on it was whole."};
+inline constexpr event_kind request_relayed{
+    240, event_level::info, "request_relayed",
+    "A request was passed to a peer, because this process reaches no endpoint."};
+inline constexpr event_kind relay_ended{241, event_level::info, "relay_ended",
+                                        "What became of a request that was passed to a peer."};
 inline constexpr event_kind listening_ended{
     233, event_level::info, "listening_ended",
     "The process closed a listening socket after it had taken what waited there."};
@@ -157,6 +162,12 @@
     416, event_level::info, "endpoint_ready_again",
     "The entry of an endpoint that was leaving says that it takes requests."};
 
+inline constexpr event_kind paths_lost{
+    417, event_level::warning, "paths_lost",
+    "No endpoint can be reached from this process; requests go through peers."};
+inline constexpr event_kind paths_regained{418, event_level::info, "paths_regained",
+                                           "An endpoint can be reached from this process again."};
+
 inline constexpr event_kind platform_unavailable{500, event_level::warning, "platform_unavailable",
                                                  "A platform service does not answer."};
 inline constexpr event_kind platform_available{501, event_level::info, "platform_available",
@@ -223,6 +234,8 @@
     connection_closed,
     connection_failed,
     connection_lost,
+    request_relayed,
+    relay_ended,
     listening_ended,
     accept_failed,
     sheet_in_force,
@@ -249,6 +262,8 @@
     endpoint_paused,
     endpoint_constraint_ended,
     endpoint_ready_again,
+    paths_lost,
+    paths_regained,
     platform_unavailable,
     platform_available,
     lease_acquired,
--- a/Libraries/forwarding/include/siskinwharf/forwarding/call.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/call.h
@@ -61,6 +61,10 @@
     /// the headers that only the system may set.
     [[nodiscard]] virtual http::request encode(const call& from,
                                                const endpoint_request_options& order) const = 0;
+    /// Builds the request for a peer that passes it to an endpoint: the caller's request without hop-by-hop
+    /// headers, and with the time that is left.
+    [[nodiscard]] virtual http::request encode_for_peer(const call& from,
+                                                        std::optional<milliseconds> time_left) const = 0;
     /// Reads the platform's headers of an endpoint's response.
     [[nodiscard]] virtual response_metadata inspect(int status,
                                                     const std::vector<http::header_field>& headers) const = 0;
--- a/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/peer_exchange.h
@@ -15,6 +15,7 @@
 #include "siskinwharf/exchange/process_state.h"
 #include "siskinwharf/exchange/round_schedule.h"
 #include "siskinwharf/forwarding/deployment_store.h"
+#include "siskinwharf/forwarding/helper_source.h"
 #include "siskinwharf/forwarding/peer_table.h"
 #include "siskinwharf/forwarding/process_settings.h"
 #include "siskinwharf/forwarding/traffic_state.h"
@@ -23,7 +24,7 @@
 
 /// Sends the state of this process to all known peers periodically over UDP, and stores the state received
 /// from them. Peers are discovered through the store, the configured seeds and their own messages.
-class peer_exchange {
+class peer_exchange final : public helper_source {
 public:
     peer_exchange(boost::asio::io_context& context, const process_settings& settings, traffic_state& state,
                   std::uint64_t start);
@@ -65,6 +66,7 @@
     /// Whether the deployment has relays and this process is none. It learns from them what other failure
     /// domains say, and leaves to them what needs only a few processes.
     [[nodiscard]] bool relies_on_relays() const;
+    [[nodiscard]] std::vector<dispatch::helper> helpers() const override;
     /// Returns the peers that have a newer version of an item than this process.
     [[nodiscard]] std::vector<update_offer> offers(shared_item item) const;
     /// Returns the demand for a service in each failure domain, summed over this process and all live peers.
--- a/Libraries/forwarding/include/siskinwharf/forwarding/peer_table.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/peer_table.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "siskinwharf/dispatch/helper_choice.h"
 #include "siskinwharf/dispatch/store_readers.h"
 #include "siskinwharf/exchange/process_state.h"
 #include "siskinwharf/forwarding/deployment_store.h"
@@ -112,6 +113,8 @@
     /// between processes, so that those that miss the same version ask different peers for it.
     [[nodiscard]] std::vector<update_offer> offers(shared_item item, const known_versions& own,
                                                    monotonic_time now) const;
+    /// Returns the peers that were heard lately and do not stop.
+    [[nodiscard]] std::vector<dispatch::helper> helpers(monotonic_time now) const;
     /// Returns since when an era of the store is known: the earliest time that a peer tells, or `own`.
     [[nodiscard]] monotonic_time era_known_since(std::uint64_t era, monotonic_time own) const;
     /// Returns the demand for a service at the peers of each failure domain. At a relay, or without relays,
--- a/Libraries/forwarding/include/siskinwharf/forwarding/process_settings.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/process_settings.h
@@ -28,6 +28,9 @@
     auto operator<=>(const service_bounds&) const = default;
 };
 
+/// The port for requests that peers pass on is the one for messages plus this, in the whole deployment.
+inline constexpr std::uint16_t relay_port_offset = 2;
+
 /// Settings of a forwarding process.
 struct process_settings {
     instance_id instance;
@@ -36,7 +39,8 @@
     std::map<failure_domain_id, region_id> regions;
     settings::socket_address callers;
     settings::socket_address readiness;
-    settings::socket_address peers; ///< UDP for state messages, TCP for HTTP between processes.
+    settings::socket_address peers;  ///< UDP for state messages, TCP for HTTP between processes.
+    settings::socket_address relays; ///< Requests that peers without a path to endpoints pass on.
     settings::socket_address metrics;
     settings::socket_address store;
     settings::socket_address duties;
--- a/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
+++ b/Libraries/forwarding/include/siskinwharf/forwarding/traffic_state.h
@@ -10,7 +10,9 @@
 #include "siskinwharf/base/memory_budget.h"
 #include "siskinwharf/deployment/snapshot.h"
 #include "siskinwharf/dispatch/answer_pace.h"
+#include "siskinwharf/dispatch/helper_choice.h"
 #include "siskinwharf/dispatch/load_balancer.h"
+#include "siskinwharf/dispatch/path_monitor.h"
 #include "siskinwharf/dispatch/retry_limiter.h"
 #include "siskinwharf/dispatch/software_history.h"
 #include "siskinwharf/dispatch/stream_origins.h"
@@ -90,6 +92,10 @@
     [[nodiscard]] dispatch::stream_origins& streams() { return m_streams; }
     [[nodiscard]] const usage::synchronized_clock& clock() const { return m_clock; }
     [[nodiscard]] std::size_t processes() const { return m_processes; }
+    /// Whether this process can reach endpoints, and through which peers it helps itself while it cannot.
+    [[nodiscard]] dispatch::path_monitor& paths() { return m_paths; }
+    [[nodiscard]] const dispatch::path_monitor& paths() const { return m_paths; }
+    [[nodiscard]] dispatch::helper_choice& helpers() { return m_helpers; }
     /// Memory for what is read or held for callers and endpoints.
     [[nodiscard]] const std::shared_ptr<memory_budget>& memory() const { return m_memory; }
 
@@ -159,6 +165,8 @@
     process_settings m_settings;
     monotonic_time m_started;
     std::shared_ptr<const deployment::snapshot> m_snapshot;
+    dispatch::path_monitor m_paths;
+    dispatch::helper_choice m_helpers;
     configuration_origin m_configuration_origin;
     dispatch::load_balancer m_balancer;
     bool m_has_endpoints = false;
--- a/Libraries/forwarding/src/crash_check.cpp
+++ b/Libraries/forwarding/src/crash_check.cpp
@@ -19,6 +19,8 @@
 /// Delay before the endpoint is connected to again. A crashed endpoint refuses connections; one that only
 /// reset a connection accepts a new one.
 constexpr milliseconds check_delay{100};
+/// Time in which other failures show whether the own paths are lost, and a probe of them ends.
+constexpr milliseconds path_check_time{150};
 /// Interval of looking whether a pause of the endpoint has ended, and the pause after which there is no
 /// check.
 constexpr milliseconds pause_check_interval{250};
@@ -50,6 +52,14 @@
     const auto [error] = co_await socket.async_connect(target, use_tuple);
     if (error != asio::error::connection_refused)
         co_return;
+    // The own paths may refuse connections instead of the endpoint; others then fail too.
+    state.paths().on_connect_failed(endpoint.id, std::chrono::steady_clock::now());
+    if (state.paths().is_suspected(state.balancer().endpoints().size(), std::chrono::steady_clock::now())) {
+        timer.expires_after(path_check_time);
+        co_await timer.async_wait(use_tuple);
+    }
+    if (state.paths().was_just_lost(std::chrono::steady_clock::now()))
+        co_return;
     const auto crash = combine64(hash64(endpoint.id.value()), endpoint.started_ms);
     const auto& content = request.content;
     const auto now = std::chrono::steady_clock::now();
--- a/Libraries/forwarding/src/forwarded_request.cpp
+++ b/Libraries/forwarding/src/forwarded_request.cpp
@@ -31,32 +31,27 @@
 constexpr milliseconds connect_timeout{400};
 /// Number of failed connection attempts after which the request is refused.
 constexpr std::size_t maximum_unreachable_attempts = 3;
+/// Number of them after which a request waits until it is known whether this process reaches any endpoint.
+constexpr std::size_t unreachable_attempts_until_doubt = 2;
 /// Time between two checks whether a software version has been recorded.
 constexpr milliseconds recording_check_interval{20};
 /// Time between two checks of an endpoint's silence.
 constexpr milliseconds silence_check_interval{100};
-constexpr milliseconds retry_after_not_run{150};
-/// Divisor of the remaining time up to which callers wait before they retry.
-constexpr int usable_time_divisor = 3;
-/// Time that a refusal takes to reach the caller at most, and the step in which `Retry-After` is written.
-constexpr milliseconds response_travel_time{50};
-constexpr milliseconds retry_after_step{10};
-/// Divisor of a known wait, and its upper bound, over which callers that wait for the same moment are spread.
-constexpr int retry_spread_divisor = 4;
-constexpr milliseconds maximum_retry_spread{1'000};
 
 } // namespace
 
 forwarded_request::forwarded_request(asio::any_io_executor executor, traffic_state& state,
                                      const call_codec& codec, http::client& client,
                                      telemetry::metrics_registry& metrics, stream_origin_source& origins,
-                                     call request, http::response_writer& writer)
+                                     const request_route_options& options, call request,
+                                     http::response_writer& writer)
     : m_executor(std::move(executor)),
       m_state(state),
       m_codec(codec),
       m_client(client),
       m_metrics(metrics),
       m_origins(origins),
+      m_options(options),
       m_call(std::move(request)),
       m_body(std::make_shared<const std::string>(std::exchange(m_call.message.body, {}))),
       m_writer(writer),
@@ -82,29 +77,56 @@
 
 asio::awaitable<void> forwarded_request::run()
 {
-    if (auto reason = co_await admit()) {
+    co_await handle();
+    m_has_ended = true;
+}
+
+asio::awaitable<void> forwarded_request::handle()
+{
+    if (m_options.is_relayed && m_state.paths().is_lost()) {
+        co_await refuse_relayed();
+        co_return;
+    }
+    if (auto reason = find_service()) {
         co_await refuse(std::move(*reason));
-        m_has_ended = true;
         co_return;
     }
     m_writer.watch_disconnect([this] {
         m_is_caller_gone = true;
         m_control->cancel();
     });
+    if (is_for_helper()) {
+        if (auto reason = check_stop(std::chrono::steady_clock::now()))
+            co_await refuse(std::move(*reason));
+        else
+            co_await pass_to_helper();
+        co_return;
+    }
+    if (auto reason = co_await admit()) {
+        co_await refuse(std::move(*reason));
+        co_return;
+    }
     co_await wait_for_recorded_software();
     co_await serve();
-    m_has_ended = true;
 }
 
 asio::awaitable<void> forwarded_request::serve()
 {
     while (true) {
+        if (m_unreachable_attempts >= unreachable_attempts_until_doubt)
+            co_await wait_for_probe();
+        if (is_for_helper()) {
+            refund_quota();
+            co_await pass_to_helper();
+            co_return;
+        }
         const auto end = co_await attempt();
         if (!end)
             co_return;
         const bool is_over = *end == attempt_end::delivered || *end == attempt_end::aborted ||
                              *end == attempt_end::caller_gone;
-        if (is_over || !may_retry(*end)) {
+        const bool is_passed_on = *end == attempt_end::not_sent && is_for_helper();
+        if (is_over || (!is_passed_on && !may_retry(*end))) {
             if (!is_over)
                 co_await answer_failure(*end);
             co_return;
@@ -229,6 +251,7 @@
     m_is_reading = true;
     m_attempt_number = m_state.balancer().activity().start(endpoint.id, m_service->id, expected,
                                                            std::chrono::steady_clock::now());
+    m_state.paths().begin_wait(endpoint.id, std::chrono::steady_clock::now());
     ++m_sent_attempts;
     std::optional<silence_watch> watch;
     if (may_try_elsewhere())
@@ -263,6 +286,9 @@
     }
     watch.reset();
     const auto now = std::chrono::steady_clock::now();
+    m_state.paths().end_wait(endpoint.id);
+    if (end == attempt_end::not_sent)
+        m_state.paths().on_connect_failed(endpoint.id, now);
     if (m_running_answer)
         m_state.pace(m_service->id).end(*std::exchange(m_running_answer, std::nullopt), now);
     m_state.balancer().activity().finish(m_attempt_number, end == attempt_end::delivered, now);
@@ -310,79 +336,10 @@
     return m_state.try_repeat(m_service->id, std::chrono::steady_clock::now());
 }
 
-asio::awaitable<void> forwarded_request::answer_failure(attempt_end end)
+void forwarded_request::refund_quota()
 {
-    if (m_writer.started()) {
-        log_event(event::stream_cut,
-                  {{"request", m_call.id.value()}, {"outcome", std::string(to_string(end))}});
-        m_writer.abort();
-        co_return;
-    }
-    if (m_failure_answer) {
-        auto answer = std::move(*m_failure_answer);
-        try {
-            co_await m_writer.send(std::move(answer));
-        } catch (const http::caller_disconnected& error) {
-            log_event(event::caller_left, {{"request", m_call.id.value()}, {"reason", error.what()}});
-        }
-        co_return;
-    }
-    http::refusal reason;
-    if (end == attempt_end::timed_out)
-        reason = {http::refusal_type::deadline_exceeded, "no answer in time", outcome::unknown};
-    else if (m_may_have_run)
-        reason = {http::refusal_type::endpoint_failed, "the endpoint failed", outcome::unknown};
-    else
-        reason = {http::refusal_type::no_endpoint, "no endpoint took the request", outcome::not_run,
-                  not_run_retry_after()};
-    co_await refuse(std::move(reason));
-}
-
-asio::awaitable<void> forwarded_request::refuse_attempt(http::refusal reason)
-{
-    // Only a request that has not run may be refused as such.
-    if (m_may_have_run || m_writer.started())
-        co_await answer_failure(attempt_end::failed);
-    else
-        co_await refuse(std::move(reason));
-}
-
-asio::awaitable<void> forwarded_request::refuse(http::refusal reason)
-{
-    if (reason.result == outcome::not_run && m_account != nullptr && m_quota_taken > 0)
-        m_state.refund_quota(*m_account, m_quota_taken, std::chrono::steady_clock::now());
-    const auto configuration_age =
-        duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_configuration_origin.since);
-    log_event(
-        event::request_refused,
-        {{"request", m_call.id.value()},
-         {"route", m_route == nullptr ? "" : m_route->name},
-         {"reason", std::string(to_string(reason.type))},
-         {"detail", reason.message},
-         {"outcome", std::string(to_string(reason.result))},
-         {"configuration", std::to_string(m_snapshot ? m_snapshot->version() : 0)},
-         {"configuration_source",
-          m_snapshot ? std::string(to_string(m_configuration_origin.source)) : "none"},
-         {"configuration_age_ms", std::to_string(m_snapshot ? configuration_age.count() : 0)},
-         {"in_force", std::to_string(m_state.configuration() ? m_state.configuration()->version() : 0)},
-         {"retry_after_ms", reason.retry_after ? std::to_string(reason.retry_after->count()) : "none"}});
-    m_metrics
-        .find_counter("siskinwharf_refusals_total", "Refused requests by reason.",
-                      {{"reason", std::string(to_string(reason.type))}})
-        ->add();
-    const auto retry_after = std::exchange(reason.retry_after, std::nullopt);
-    auto response = to_response(reason);
-    if (retry_after) {
-        // Fractional seconds: callers of this interface parse them, and whole seconds would be too long.
-        constexpr double second_ms = 1'000;
-        response.headers.push_back(
-            {"Retry-After", fmt::format("{:.2f}", static_cast<double>(retry_after->count()) / second_ms)});
-    }
-    try {
-        co_await m_writer.send(std::move(response));
-    } catch (const http::caller_disconnected& error) {
-        log_event(event::caller_left, {{"request", m_call.id.value()}, {"reason", error.what()}});
-    }
+    if (m_account != nullptr && m_quota_taken > 0)
+        m_state.refund_quota(*m_account, std::exchange(m_quota_taken, 0), std::chrono::steady_clock::now());
 }
 
 void forwarded_request::start_crash_check(const dispatch::endpoint_record& endpoint)
@@ -417,27 +374,6 @@
     return std::max(limit - taken, minimum_time_left);
 }
 
-milliseconds forwarded_request::not_run_retry_after() const
-{
-    const auto next = m_state.balancer().place(*m_service, m_call.work, {}, response_start_budget(),
-                                               std::chrono::steady_clock::now());
-    const auto* refused = std::get_if<dispatch::placement_refusal>(&next);
-    return refused != nullptr && refused->reason == dispatch::refusal_reason::limited
-               ? usable_retry_after(refused->retry_after)
-               : retry_after_not_run;
-}
-
-milliseconds forwarded_request::usable_retry_after(milliseconds wait) const
-{
-    const auto spread = std::min(wait / retry_spread_divisor, maximum_retry_spread);
-    const auto position = unit_interval(mix64(hash64(m_call.id.value())));
-    const auto spread_wait =
-        wait + milliseconds(std::llround(position * static_cast<double>(spread.count())));
-    const auto usable =
-        (time_left().value_or(default_request_timeout) - response_travel_time) / usable_time_divisor;
-    return std::clamp(usable / retry_after_step * retry_after_step, milliseconds(0), spread_wait);
-}
-
 milliseconds forwarded_request::response_start_budget() const
 {
     const auto taken = duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_started);
@@ -450,6 +386,7 @@
 
 void forwarded_request::on_progress()
 {
+    m_state.paths().on_received(std::chrono::steady_clock::now());
     m_state.balancer().activity().on_progress(m_attempt_number, std::chrono::steady_clock::now());
 }
 
--- a/Libraries/forwarding/src/forwarded_request.h
+++ b/Libraries/forwarding/src/forwarded_request.h
@@ -11,6 +11,7 @@
 #include "attempt_end.h"
 #include "event_splitter.h"
 #include "siskinwharf/forwarding/call.h"
+#include "siskinwharf/forwarding/helper_source.h"
 #include "siskinwharf/forwarding/stream_origin_source.h"
 #include "siskinwharf/forwarding/traffic_state.h"
 #include "siskinwharf/http/client.h"
@@ -29,12 +30,21 @@
     bool operator==(const stream_format&) const = default;
 };
 
+/// Where a request came from, and where it may go if this process reaches no endpoint.
+struct request_route_options {
+    /// Null: requests are not passed to peers.
+    const helper_source* helpers = nullptr;
+    /// A peer has passed the request on. It is not passed on again.
+    bool is_relayed = false;
+};
+
 /// Handles one caller's request from its arrival to the end of the response.
 class forwarded_request {
 public:
     forwarded_request(boost::asio::any_io_executor executor, traffic_state& state, const call_codec& codec,
                       http::client& client, telemetry::metrics_registry& metrics,
-                      stream_origin_source& origins, call request, http::response_writer& writer);
+                      stream_origin_source& origins, const request_route_options& options, call request,
+                      http::response_writer& writer);
     forwarded_request(const forwarded_request&) = delete;
     forwarded_request& operator=(const forwarded_request&) = delete;
     forwarded_request(forwarded_request&&) = delete;
@@ -52,8 +62,9 @@
     /// Result of `time_left` after the deadline.
     static constexpr milliseconds minimum_time_left{1};
 
-    /// Resolves the route and the client account and takes the quota. Returns the reason if the request is
-    /// refused.
+    boost::asio::awaitable<void> handle();
+    /// Finds the version of a stream that is taken up, and takes the quota. Returns the reason if the request
+    /// is refused.
     [[nodiscard]] boost::asio::awaitable<std::optional<http::refusal>> admit();
     /// Resolves the route, the client account and the service. Returns the reason if one is missing.
     [[nodiscard]] std::optional<http::refusal> find_service();
@@ -76,6 +87,21 @@
     /// Time to the end of the answer: expected while a process has just begun to stop, otherwise at most.
     [[nodiscard]] milliseconds expected_answer_time(monotonic_time now) const;
     void log_quota_exceeded(double amount, monotonic_time now) const;
+    /// Waits until it is known whether the paths to endpoints are lost, if they may be.
+    boost::asio::awaitable<void> wait_for_probe();
+    /// Whether the request goes to a peer now.
+    [[nodiscard]] bool is_for_helper() const;
+    /// Passes the request to a peer that reaches endpoints, or refuses it.
+    boost::asio::awaitable<void> pass_to_helper();
+    enum class relay_end {
+        answered, ///< The caller has the response, or its connection was ended.
+        refused,  ///< The peer cannot help; the request has not run.
+        failed,   ///< It may have run.
+    };
+    boost::asio::awaitable<relay_end> ask_helper(const dispatch::helper& peer);
+    boost::asio::awaitable<relay_end> pass_answer(const dispatch::helper& peer, http::part_stream& answer);
+    /// Refuses a request of a peer that this process cannot pass on either.
+    boost::asio::awaitable<void> refuse_relayed();
     boost::asio::awaitable<void> serve();
     /// Selects an endpoint and forwards the request once. Returns nothing if the caller has been answered
     /// because no endpoint could be selected.
@@ -98,6 +124,9 @@
         held,      ///< It is whole, and nothing has been sent to the caller.
         passed_on, ///< The caller has received it.
     };
+    [[nodiscard]] static bool is_success(int status);
+    /// Keeps the length that a response without a body states, which is not that of what is passed on.
+    static void copy_length(const http::part_stream& answer, http::response& whole);
     /// Throws `http::call_error` after the deadline.
     void check_time_left() const;
     /// Reads the body into `whole`, or passes a large one on.
@@ -121,6 +150,8 @@
     /// Refuses the request, or reports a failure if it may have run.
     boost::asio::awaitable<void> refuse_attempt(http::refusal reason);
     boost::asio::awaitable<void> answer_failure(attempt_end end);
+    /// Gives back what was taken of the quota: the request does not run here.
+    void refund_quota();
     void start_crash_check(const dispatch::endpoint_record& endpoint);
     void count_run();
     /// Records that an endpoint answered the request in full.
@@ -155,6 +186,7 @@
     http::client& m_client;
     telemetry::metrics_registry& m_metrics;
     stream_origin_source& m_origins;
+    const request_route_options m_options;
     call m_call;
     /// Body of the caller's request, which all attempts send.
     std::shared_ptr<const std::string> m_body;
--- a/Libraries/forwarding/src/forwarded_request_admission.cpp
+++ b/Libraries/forwarding/src/forwarded_request_admission.cpp
@@ -21,8 +21,6 @@
 
 asio::awaitable<std::optional<http::refusal>> forwarded_request::admit()
 {
-    if (auto reason = find_service())
-        co_return reason;
     if (auto reason = co_await check_resumption())
         co_return reason;
     co_return check_load();
--- a/Libraries/forwarding/src/forwarded_request_relay.cpp
+++ b/Libraries/forwarding/src/forwarded_request_relay.cpp
@@ -20,15 +20,8 @@
 constexpr std::size_t maximum_held_body = 256U << 10U;
 /// What is kept of an answer up to this size is counted with its request.
 constexpr std::size_t answer_bytes_of_request = 16U << 10U;
-constexpr int first_success = 200;
-constexpr int first_redirect = 300;
 constexpr int first_server_error = 500;
 
-bool is_success(int status)
-{
-    return status >= first_success && status < first_redirect;
-}
-
 stream_format format_of(const http::part_stream& answer)
 {
     stream_format format;
@@ -45,8 +38,16 @@
     return format;
 }
 
-/// Keeps the length that a response without a body states, which is not that of what is passed on.
-void copy_length(const http::part_stream& answer, http::response& whole)
+} // namespace
+
+bool forwarded_request::is_success(int status)
+{
+    constexpr int first_success = 200;
+    constexpr int first_redirect = 300;
+    return status >= first_success && status < first_redirect;
+}
+
+void forwarded_request::copy_length(const http::part_stream& answer, http::response& whole)
 {
     for (auto& header : answer.headers()) {
         if (http::equal_ignoring_case(header.name, "Content-Length"))
@@ -54,8 +55,6 @@
     }
 }
 
-} // namespace
-
 asio::awaitable<attempt_end> forwarded_request::receive(const dispatch::endpoint_record& endpoint,
                                                         http::part_stream& answer,
                                                         dispatch::attempt_ticket& ticket)
--- a/Libraries/forwarding/src/peer_exchange.cpp
+++ b/Libraries/forwarding/src/peer_exchange.cpp
@@ -449,6 +449,11 @@
     return m_table.uses_relays() && !m_table.is_relay(std::chrono::steady_clock::now());
 }
 
+std::vector<dispatch::helper> peer_exchange::helpers() const
+{
+    return m_table.helpers(std::chrono::steady_clock::now());
+}
+
 std::vector<update_offer> peer_exchange::offers(shared_item item) const
 {
     return m_table.offers(item, m_versions, std::chrono::steady_clock::now());
--- a/Libraries/forwarding/src/peer_table_sums.cpp
+++ b/Libraries/forwarding/src/peer_table_sums.cpp
@@ -67,6 +67,22 @@
     return result;
 }
 
+std::vector<dispatch::helper> peer_table::helpers(monotonic_time now) const
+{
+    using dispatch::peer_distance;
+    std::vector<dispatch::helper> result;
+    for (const auto& [id, entry] : m_peers) {
+        if (!entry.state || entry.state->is_leaving || condition_of(entry, now) != condition::alive)
+            continue;
+        auto distance = is_near(entry) ? peer_distance::same_region : peer_distance::other_region;
+        if (is_in_domain(entry))
+            distance = peer_distance::same_domain;
+        const auto port = static_cast<std::uint16_t>(entry.address.port + relay_port_offset);
+        result.push_back({id, entry.address.ip, port, distance});
+    }
+    return result;
+}
+
 monotonic_time peer_table::era_known_since(std::uint64_t era, monotonic_time own) const
 {
     auto result = own;
--- a/Libraries/forwarding/tests/forwarding_fixture.h
+++ b/Libraries/forwarding/tests/forwarding_fixture.h
@@ -56,6 +56,12 @@
         return result;
     }
 
+    [[nodiscard]] http::request encode_for_peer(const call& from,
+                                                std::optional<milliseconds> /*time_left*/) const override
+    {
+        return from.message;
+    }
+
     [[nodiscard]] response_metadata inspect(int status,
                                             const std::vector<http::header_field>& headers) const override
     {
--- a/Services/siskinwharfd/src/forwarding_process.cpp
+++ b/Services/siskinwharfd/src/forwarding_process.cpp
@@ -20,6 +20,7 @@
 #include "siskinwharf/base/event_log.h"
 #include "siskinwharf/forwarding/deployment_watch.h"
 #include "siskinwharf/forwarding/duty_runner.h"
+#include "siskinwharf/forwarding/path_watch.h"
 #include "siskinwharf/forwarding/peer_exchange.h"
 #include "siskinwharf/forwarding/process_origin_source.h"
 #include "siskinwharf/forwarding/request_runner.h"
@@ -110,6 +111,16 @@
     return result;
 }
 
+/// Peers pass on what callers may send. Their connections are kept like those of other peers.
+http::server_limits relay_limits(const deployment::caller_limits& limits)
+{
+    auto result = limits_of(limits);
+    result.idle_timeout = http::server_limits{}.idle_timeout;
+    result.reuse_time = http::server_limits{}.reuse_time;
+    result.connections = most_internal_connections;
+    return result;
+}
+
 /// Limits of the addresses that no caller uses. Their requests have no bodies, and they are few.
 http::server_limits internal_limits()
 {
@@ -140,7 +151,8 @@
           m_peers(m_context, m_settings, m_state, m_start),
           m_software(m_context, m_store, m_state, m_settings),
           m_origins(m_software, m_peers),
-          m_runner(m_context.get_executor(), m_state, m_codec, m_client, m_metrics, m_origins),
+          m_runner(m_context.get_executor(), m_state, m_codec, m_client, m_metrics, m_origins, &m_peers),
+          m_paths(m_context, m_state),
           m_watch(m_context, m_store, m_client, m_state, m_peers, [this] { apply_limits(); }),
           m_duties(m_context, m_settings, m_store, m_duty_client, m_state, m_peers, m_software, m_start),
           m_transfers(m_settings.link_rate),
@@ -148,6 +160,10 @@
                     [this](http::request message, http::response_writer& writer) {
                         return m_runner.handle(std::move(message), writer);
                     }),
+          m_relays(m_context, to_address(m_settings.relays), relay_limits({}),
+                   [this](http::request message, http::response_writer& writer) {
+                       return m_runner.handle_relayed(std::move(message), writer);
+                   }),
           m_readiness(m_context, to_address(m_settings.readiness), internal_limits(),
                       [this](http::request message, http::response_writer& writer) {
                           return answer_readiness(std::move(message), writer);
@@ -176,6 +192,9 @@
         m_duties.start();
         m_callers.use_budget(m_state.memory());
         m_callers.start();
+        m_relays.use_budget(m_state.memory());
+        m_relays.start();
+        m_paths.start();
         m_readiness.start();
         m_peer_server.start();
         m_metrics_server.start();
@@ -234,11 +253,13 @@
         m_duties.stop();
         m_state.begin_stop({started + drain_time - signal_margin, end});
         m_callers.begin_drain();
+        m_relays.begin_drain();
         asio::steady_timer timer(m_context, std::min(drain_time, m_settings.bounds.stop_time - stop_margin));
         co_await timer.async_wait(use_tuple);
         m_callers.stop_accepting();
         // Callers go on using the connections that they have: each use ends one of them.
-        while (m_callers.open_connections() > 0 && std::chrono::steady_clock::now() < end) {
+        while ((m_callers.open_connections() > 0 || m_relays.active_requests() > 0) &&
+               std::chrono::steady_clock::now() < end) {
             if (std::chrono::steady_clock::now() < end - last_requests_time)
                 m_callers.close_unused();
             else
@@ -262,7 +283,7 @@
     /// the stop.
     asio::awaitable<void> end_own_servers()
     {
-        const std::array servers{&m_readiness, &m_peer_server, &m_metrics_server};
+        const std::array servers{&m_readiness, &m_peer_server, &m_metrics_server, &m_relays};
         for (auto* server : servers) {
             server->stop_accepting();
             server->close_idle();
@@ -282,6 +303,7 @@
     void apply_limits()
     {
         m_callers.set_limits(limits_of(m_state.configuration()->content().limits));
+        m_relays.set_limits(relay_limits(m_state.configuration()->content().limits));
         if (!std::exchange(m_was_ready, true))
             log_event(event::process_ready,
                       {{"configuration", std::to_string(m_state.configuration()->version())}});
@@ -328,10 +350,12 @@
     forwarding::software_record m_software;
     forwarding::process_origin_source m_origins;
     forwarding::request_runner m_runner;
+    forwarding::path_watch m_paths;
     forwarding::deployment_watch m_watch;
     forwarding::duty_runner m_duties;
     forwarding::transfer_budget m_transfers;
     http::server m_callers;
+    http::server m_relays;
     http::server m_readiness;
     http::server m_peer_server;
     http::server m_metrics_server;
