Forwarding: Let no message of a peer end the process that reads it

The rewrite of the fetch caught only the error of a malformed answer; any other exception would have ended the process, as the fetch is detached. Found by reading; every exception is caught again, as before.

--- a/Libraries/forwarding/src/deployment_watch.cpp
+++ b/Libraries/forwarding/src/deployment_watch.cpp
@@ -375,7 +375,8 @@
         // The list in an answer to a request for the configuration starts at the peer's own position.
         if (item == shared_item::endpoint_list)
             apply_peer_list(answer.versions.list, answer.list);
-    } catch (const invalid_entry& failure) {
+    } catch (const std::exception& failure) {
+        // Whatever a peer sends, it must not end this process.
         log_event(event::peer_message_rejected, {{"reason", failure.what()}});
     }
     return versions().is_newer(item, before);
