Forwarding: Let the timer of a probe outlive the probe

The timer's handler referred to the probe's socket. If it had expired in the moment in which the connection opened, it ran after the probe had ended. Found by reading; no test reaches that moment.

--- a/Libraries/forwarding/src/path_watch.cpp
+++ b/Libraries/forwarding/src/path_watch.cpp
@@ -58,22 +58,25 @@
 
 asio::awaitable<void> path_watch::connect(std::shared_ptr<probe> part, dispatch::endpoint_record endpoint)
 {
-    asio::ip::tcp::socket socket(m_context);
+    // The timer may expire in the moment in which the connection opens, and end after this call.
+    const auto socket = std::make_shared<asio::ip::tcp::socket>(m_context);
     asio::steady_timer timer(m_context, connect_timeout);
-    timer.async_wait([&](const boost::system::error_code& error) {
+    timer.async_wait([socket](const boost::system::error_code& error) {
         boost::system::error_code ignored;
         if (!error)
-            socket.close(ignored);
+            socket->close(ignored);
     });
     boost::system::error_code parse_error;
     const auto ip = asio::ip::make_address(endpoint.ip, parse_error);
     bool is_reached = false;
     if (!parse_error) {
         const asio::ip::tcp::endpoint target(ip, endpoint.port);
-        const auto [error] = co_await socket.async_connect(target, use_tuple);
+        const auto [error] = co_await socket->async_connect(target, use_tuple);
         is_reached = !error;
     }
     timer.cancel();
+    boost::system::error_code ignored;
+    socket->close(ignored);
     --part->pending;
     if (!part->is_over && (is_reached || part->pending == 0)) {
         part->is_over = true;
