--- a/Libraries/base/include/siskinwharf/base/event.h
+++ b/Libraries/base/include/siskinwharf/base/event.h
@@ -94,16 +94,16 @@
 inline constexpr event_kind connection_lost{
     232, event_level::info, "connection_lost",
     "A connection failed, not by this process, before a request on it was whole."};
-inline constexpr event_kind request_relayed{
-    240, event_level::info, "request_relayed",
-    "A request was passed to a peer, because this process reaches no endpoint."};
-inline constexpr event_kind relay_ended{241, event_level::info, "relay_ended",
-                                        "What became of a request that was passed to a peer."};
 inline constexpr event_kind listening_ended{
     233, event_level::info, "listening_ended",
     "The process closed a listening socket after it had taken what waited there."};
 inline constexpr event_kind accept_failed{234, event_level::warning, "accept_failed",
                                           "Connections that callers opened could not be accepted."};
+inline constexpr event_kind request_relayed{
+    240, event_level::info, "request_relayed",
+    "A request was passed to a peer, because this process reaches no endpoint."};
+inline constexpr event_kind relay_ended{241, event_level::info, "relay_ended",
+                                        "What became of a request that was passed to a peer."};
 
 inline constexpr event_kind sheet_in_force{300, event_level::info, "sheet_in_force",
                                            "A newer sheet is in force at this process."};
@@ -234,10 +234,10 @@
     connection_closed,
     connection_failed,
     connection_lost,
-    request_relayed,
-    relay_ended,
     listening_ended,
     accept_failed,
+    request_relayed,
+    relay_ended,
     sheet_in_force,
     sheet_rejected,
     sheet_conflict,
