--- a/Libraries/forwarding/src/forwarded_request_helper.cpp
+++ b/Libraries/forwarding/src/forwarded_request_helper.cpp
@@ -174,9 +174,7 @@
                                        {"reason", "no_endpoint"},
                                        {"detail", "no path to endpoints for the request of a peer"},
                                        {"outcome", "not_run"}});
-    const http::refusal reason{http::refusal_type::no_endpoint, "no endpoint is reached", outcome::not_run};
-    auto response = http::to_response(reason);
-    response.headers.push_back({std::string(relay_refused_header), "1"});
+    auto response = relay_refusal("no endpoint is reached");
     co_await m_writer.send(std::move(response));
 }
 
--- a/Libraries/forwarding/src/request_runner.cpp
+++ b/Libraries/forwarding/src/request_runner.cpp
@@ -38,10 +38,7 @@
                                                             http::response_writer& writer)
 {
     if (m_relayed >= maximum_relayed) {
-        const http::refusal reason{http::refusal_type::no_endpoint, "too many requests of peers",
-                                   outcome::not_run};
-        auto response = http::to_response(reason);
-        response.headers.push_back({std::string(relay_refused_header), "1"});
+        auto response = relay_refusal("too many requests of peers");
         co_await writer.send(std::move(response));
         co_return;
     }
