--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -142,12 +142,13 @@
         self.platform.put("op", "config", json.dumps(content).encode())
         self.note(f"the store acknowledges configuration {version}")
 
-    async def start(self):
+    async def start(self, rewrites=None):
+        """`rewrites` says for a process what it reads in place of a row's data."""
         if not PROGRAM.exists():
             raise FileNotFoundError(PROGRAM)
         self.duty_port = await self.platform.listen_duties()
         for process in self.processes:
-            process.store_port = await self.platform.listen_store(process.fault)
+            process.store_port = await self.platform.listen_store(process.fault, (rewrites or {}).get(process))
         for process in self.processes:
             process.start()
 
